--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 # as it is.
 VENV ?= .venv
 PYTHON ?= python3.11
-SOURCES := packages tests tools
-export PYTHONPATH := $(CURDIR):$(CURDIR)/packages/core/src:$(CURDIR)/packages/wire/src:$(CURDIR)/packages/adapters/src:$(CURDIR)/packages/daemon/src:$(CURDIR)/packages/cli/src
+SOURCES := packages platform deploy tests tools
+export PYTHONPATH := $(CURDIR):$(CURDIR)/packages/core/src:$(CURDIR)/packages/wire/src:$(CURDIR)/packages/adapters/src:$(CURDIR)/packages/daemon/src:$(CURDIR)/packages/cli/src:$(CURDIR)/packages/cell/src:$(CURDIR)/platform/src
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -0,0 +1,219 @@
+"""Elect one holder for the cell by conditional appends to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from briarrun_cell.clock import Clock
+from briarrun_cell.logs import PartLog
+from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
+from briarrun_cell.tail import TopicReader
+
+TERM_S = 1.5
+"""A holder's claim is good for this long after it was sent."""
+
+RENEWAL_S = 0.4
+"""Pause between renewals of a claim."""
+
+MARGIN_S = 0.15
+"""A holder stops this long before its term ends, for orders on their way."""
+
+APPEND_TIMEOUT_S = 0.6
+"""Time after which a claim counts as unanswered."""
+
+CLAIM_SPREAD_S = 0.25
+"""Candidates wait up to this long beyond the term, so that rarely two claim at once."""
+
+POLL_S = 0.05
+"""Pause between looks at whether the term of the holder has ended, and between tries
+after a renewal that was not confirmed."""
+
+HOLDER_KEY = "holder"
+
+_LOG = PartLog("holder")
+
+
+class Claim(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Claim the cell; ``epoch`` of 0 stands for the record's own offset plus one."""
+
+    vm: str
+    incarnation: str
+    epoch: int = 0
+    released: bool = False
+
+
+@dataclass(slots=True)
+class Tenure:
+    """Hold the term of this process as holder."""
+
+    epoch: int
+    valid_until: float
+
+
+class HolderRole(ABC):
+    """Act for the cell while this process holds it."""
+
+    @abstractmethod
+    async def begin(self, tenure: Tenure) -> None:
+        """Take over."""
+
+    @abstractmethod
+    async def end(self) -> None:
+        """Stop acting at once."""
+
+
+class Election(TopicReader):
+    """Claim the cell when nobody holds it, and keep the claim.
+
+    A candidate counts the term from when it saw the last claim, which is later than the
+    holder's own count from the time of sending. So two holders never overlap.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        vm: str,
+        incarnation: str,
+        role: HolderRole,
+        *,
+        handicap_s: float = 0.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._vm = vm
+        self._incarnation = incarnation
+        self._role = role
+        self._rng = rng or random.Random()
+        self.handicap_s = handicap_s
+        self.candidate = True
+        self.tenure: Tenure | None = None
+        self._last: Claim | None = None
+        self._end: int | None = None
+        self._seen_at = 0.0
+        self._wait_s = 0.0
+        self._renewal_pause_s = RENEWAL_S
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether this process may act now."""
+        tenure = self.tenure
+        return tenure is not None and self._clock.now() < tenure.valid_until
+
+    def on_snapshot(self, records: Sequence[Record], asked_at: float) -> None:
+        """Take the newest claim; its age is unknown, so it counts as new."""
+        if not records:
+            self._see(None, 0)
+        for record in records:
+            self._see(record, record.offset + 1)
+
+    def on_records(self, records: Sequence[Record], asked_at: float) -> None:
+        """Take newer claims."""
+        for record in records:
+            self._see(record, record.offset + 1)
+
+    def _see(self, record: Record | None, end: int) -> None:
+        if self._end is not None and end <= self._end:
+            return
+        self._end = end
+        self._seen_at = self._clock.now()
+        self._wait_s = self.handicap_s + self._rng.uniform(0, CLAIM_SPREAD_S)
+        self._last = None
+        if record is None or record.value is None:
+            return
+        try:
+            self._last = msgspec.json.decode(record.value, type=Claim)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            _LOG.warning("ignored an unreadable claim", detail=str(error))
+
+    def _vacant(self) -> bool:
+        if self._end is None:
+            return False
+        waited_s = self._clock.now() - self._seen_at
+        if self._last is None or self._last.released:
+            return waited_s >= self._wait_s
+        if self._last.incarnation == self._incarnation:
+            return True
+        return waited_s >= TERM_S + self._wait_s
+
+    async def run(self) -> None:
+        """Claim, renew and give up until cancelled."""
+        while True:
+            if self.tenure is None:
+                if self.candidate and self._vacant():
+                    await self._claim()
+                else:
+                    await asyncio.sleep(POLL_S)
+            else:
+                await self._renew(self.tenure)
+
+    async def release(self) -> None:
+        """Give the cell up, so that the next holder need not wait."""
+        self.candidate = False
+        tenure = self.tenure
+        if tenure is None:
+            return
+        await self._lose("released")
+        await self._append(self._own(tenure.epoch, released=True))
+
+    def _own(self, epoch: int, released: bool = False) -> Claim:
+        return Claim(
+            vm=self._vm, incarnation=self._incarnation, epoch=epoch, released=released
+        )
+
+    async def _append(self, claim: Claim) -> tuple[AppendOutcome, int, float]:
+        sent_at = self._clock.now()
+        at = self._end or 0
+        result = await self._store.append(
+            Topic.HOLDER,
+            [Record(HOLDER_KEY, msgspec.json.encode(claim))],
+            timeout_s=APPEND_TIMEOUT_S,
+            at=at,
+        )
+        if result.outcome is AppendOutcome.DONE:
+            self._end = max(self._end or 0, result.offset + 1)
+            self._last = claim
+            self._seen_at = self._clock.now()
+        return result.outcome, result.offset, sent_at
+
+    async def _claim(self) -> None:
+        outcome, offset, sent_at = await self._append(self._own(epoch=0))
+        if outcome is not AppendOutcome.DONE:
+            await asyncio.sleep(POLL_S)
+            return
+        tenure = Tenure(offset + 1, sent_at + TERM_S - MARGIN_S)
+        if self._clock.now() >= tenure.valid_until or not self.candidate:
+            return
+        self.tenure = tenure
+        _LOG.info("took over the cell", epoch=tenure.epoch)
+        await self._role.begin(tenure)
+
+    async def _renew(self, tenure: Tenure) -> None:
+        await asyncio.sleep(self._renewal_pause_s)
+        if self.tenure is not tenure:
+            return
+        if self._last is not None and self._last.incarnation != self._incarnation:
+            await self._lose(f"{self._last.vm} took over")
+            return
+        outcome, _, sent_at = await self._append(self._own(tenure.epoch))
+        if self.tenure is not tenure:
+            return
+        done = outcome is AppendOutcome.DONE
+        self._renewal_pause_s = RENEWAL_S if done else POLL_S
+        if done:
+            tenure.valid_until = max(tenure.valid_until, sent_at + TERM_S - MARGIN_S)
+        if self._clock.now() >= tenure.valid_until:
+            await self._lose(f"the term ended; last renewal: {outcome}")
+
+    async def _lose(self, reason: str) -> None:
+        tenure, self.tenure = self.tenure, None
+        if tenure is not None:
+            _LOG.warning("gave up the cell", epoch=tenure.epoch, reason=reason)
+            await self._role.end()
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -0,0 +1,214 @@
+"""Answer callers: submissions, states, cancellations and counts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from briarrun_cell import records
+from briarrun_cell.accepting import RecordWriter, WriteOutcome
+from briarrun_cell.clock import Clock
+from briarrun_cell.config_view import ConfigView
+from briarrun_cell.job_table import JobTable
+from briarrun_cell.logs import PartLog
+from briarrun_cell.model import JobSpec, JobState, Queue
+from briarrun_cell.ports import Record
+from briarrun_cell.tail import TopicTail
+
+WRITE_PATIENCE_S = 0.5
+"""Time for which a write that the store refused is tried again."""
+
+UNSETTLED_PATIENCE_S = 1.6
+"""Time for which a write whose answer was lost is tried again."""
+
+VIEW_AGE_S = 2.0
+"""A job that is not known counts as nonexistent only if the view is younger."""
+
+RETRY_AFTER_S = 1
+"""Time after which a caller should come back when the store is unreachable."""
+
+_LOG = PartLog("front")
+
+
+class Verdict(StrEnum):
+    """Name what a caller is told."""
+
+    ACCEPTED = "accepted"
+    STATE = "state"
+    COUNT = "count"
+    CANCELLED = "cancelled"
+    UNKNOWN_JOB = "unknown-job"
+    NO_QUEUE = "no-queue"
+    BAD_KEY = "bad-key"
+    INVALID = "invalid"
+    NOT_RUN = "not-run"
+    UNSETTLED = "unsettled"
+    NO_CONFIG = "no-config"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a caller; ``retry_after_s`` tells when to come back."""
+
+    verdict: Verdict
+    state: JobState | None = None
+    count: int = 0
+    retry_after_s: int | None = None
+    detail: str = ""
+    customer: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Hold where a caller's request goes and the key that came with it."""
+
+    host: str
+    path: str
+    key: str | None
+
+
+class Front:
+    """Serve callers from the folded job stream; write through the store."""
+
+    def __init__(
+        self,
+        config: ConfigView,
+        config_tail: TopicTail,
+        table: JobTable,
+        jobs_tail: TopicTail,
+        writer: RecordWriter,
+        clock: Clock,
+        max_config_age_s: float,
+    ) -> None:
+        self._config = config
+        self._config_tail = config_tail
+        self._table = table
+        self._jobs_tail = jobs_tail
+        self._writer = writer
+        self._clock = clock
+        self._max_config_age_s = max_config_age_s
+
+    @property
+    def config_is_current(self) -> bool:
+        """Tell whether keys may be judged by what is known."""
+        return self._config_tail.age_s() <= self._max_config_age_s
+
+    def find(self, address: Address) -> tuple[Queue, str] | Reply:
+        """Return the queue and customer of a request, or a refusal."""
+        if not self._config.loaded:
+            return Reply(
+                Verdict.NO_CONFIG, retry_after_s=RETRY_AFTER_S, detail="starting"
+            )
+        config = self._config.config
+        queue = config.queue_at(address.host, address.path)
+        if not self.config_is_current:
+            age_ms = int(self._config_tail.age_s() * 1000)
+            _LOG.warning(
+                "refused a request", reason="the configuration is old", age_ms=age_ms
+            )
+            return Reply(
+                Verdict.NO_CONFIG,
+                retry_after_s=RETRY_AFTER_S,
+                detail="the configuration cannot be confirmed",
+            )
+        if queue is None:
+            return Reply(Verdict.NO_QUEUE, detail="no such queue")
+        customer = config.customer_by_key.get(address.key or "")
+        if customer is None and not queue.public:
+            _LOG.info(
+                "refused a key",
+                queue=queue.name,
+                version=config.version,
+                age_ms=int(self._config_tail.age_s() * 1000),
+            )
+            return Reply(Verdict.BAD_KEY, detail="unknown key")
+        return queue, customer or ""
+
+    async def submit(self, queue: Queue, customer: str, spec: JobSpec) -> Reply:
+        """Accept a job durably, or say truthfully that it will not run."""
+        entry = self._table.by_id.get(spec.job_id)
+        if entry is not None and entry.spec is not None:
+            return Reply(Verdict.ACCEPTED, detail="known", customer=customer)
+        accepted = msgspec.structs.replace(
+            spec, terms=queue, customer=customer, accepted_ms=self._clock.wall_ms()
+        )
+        reply = await self._write(records.accepted(accepted))
+        _LOG.info(
+            "decided on a submission",
+            job=spec.job_id,
+            customer=customer,
+            queue=queue.name,
+            outcome=reply.verdict,
+            detail=reply.detail,
+            config=self._config.config.version,
+            waited_ms=self._clock.wall_ms() - accepted.accepted_ms,
+        )
+        return named_for(reply, Verdict.ACCEPTED, customer)
+
+    async def cancel(self, job_id: str, customer: str) -> Reply:
+        """Cancel a job durably."""
+        entry = self._table.by_id.get(job_id)
+        if entry is None or not entry.final:
+            # The job may have been accepted elsewhere a moment ago, so that the
+            # cancellation is stored before the job is looked for again.
+            record = records.cancelled(job_id, self._clock.wall_ms())
+            reply = await self._write(record)
+            _LOG.info("decided on a cancel", job=job_id, outcome=reply.verdict)
+            entry = self._table.by_id.get(job_id)
+            if reply.verdict is Verdict.ACCEPTED and entry is None:
+                return Reply(Verdict.UNKNOWN_JOB, detail="no such job")
+            return named_for(reply, Verdict.CANCELLED, customer)
+        return Reply(Verdict.CANCELLED, customer=customer)
+
+    async def _write(self, record: Record) -> Reply:
+        outcome = await self._writer.write(
+            record, WRITE_PATIENCE_S, UNSETTLED_PATIENCE_S
+        )
+        if outcome is WriteOutcome.STORED:
+            return Reply(Verdict.ACCEPTED)
+        if outcome is WriteOutcome.NOT_STORED:
+            return Reply(
+                Verdict.NOT_RUN,
+                retry_after_s=RETRY_AFTER_S,
+                detail="the store refused the write",
+            )
+        return Reply(Verdict.UNSETTLED, detail="the store did not answer")
+
+    def state(self, job_id: str, customer: str) -> Reply:
+        """Return a job's state."""
+        entry = self._table.by_id.get(job_id)
+        if entry is None or entry.spec is None:
+            return self._unknown()
+        return Reply(Verdict.STATE, state=entry.state, customer=customer)
+
+    def count(self, queue: Queue, customer: str) -> Reply:
+        """Return how many accepted jobs of a queue have no started task."""
+        if self._jobs_tail.age_s() > VIEW_AGE_S:
+            return self._stale()
+        waiting = self._table.waiting(queue.name)
+        return Reply(Verdict.COUNT, count=waiting, customer=customer)
+
+    def _unknown(self) -> Reply:
+        if self._jobs_tail.age_s() > VIEW_AGE_S:
+            return self._stale()
+        return Reply(Verdict.UNKNOWN_JOB, detail="no such job")
+
+    def _stale(self) -> Reply:
+        return Reply(
+            Verdict.UNSETTLED,
+            retry_after_s=RETRY_AFTER_S,
+            detail="the job stream cannot be read",
+        )
+
+
+def named_for(reply: Reply, success: Verdict, customer: str) -> Reply:
+    """Return a reply whose success is named as the request names it."""
+    verdict = success if reply.verdict is Verdict.ACCEPTED else reply.verdict
+    return Reply(
+        verdict,
+        retry_after_s=reply.retry_after_s,
+        detail=reply.detail,
+        customer=customer,
+    )
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -0,0 +1,288 @@
+"""The holder: takes over, decides and sends orders while its tenure lasts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from briarrun_cell.advice import AdviceDesk, AdviceProxy
+from briarrun_cell.clock import Clock
+from briarrun_cell.config_view import ConfigView
+from briarrun_cell.election import HolderRole, Tenure
+from briarrun_cell.job_table import JobTable
+from briarrun_cell.journal import Journal
+from briarrun_cell.ledger import LeaseTerms, Ledger
+from briarrun_cell.logs import PartLog
+from briarrun_cell.metrics import Metrics
+from briarrun_cell.nodes import EntryVm
+from briarrun_cell.orders import OrderSender, TenureGuard, WorkerDriver
+from briarrun_cell.planner import Placement, Plan, Planner, Question, life_of
+from briarrun_cell.ports import Store, Workers
+from briarrun_cell.ranking import Shares, rank
+from briarrun_cell.registry import Registry
+from briarrun_cell.tail import TopicTail
+from briarrun_cell.workers import Run, RunState, Worker
+
+ROUND_PAUSE_S = 0.004
+"""Time in which causes for a round of decisions are gathered."""
+
+TICK_S = 0.05
+"""Longest time between rounds of decisions."""
+
+FORGET_EVERY_S = 10.0
+"""Pause between searches for jobs that may be forgotten."""
+
+_LOG = PartLog("holder")
+
+
+@dataclass(slots=True)
+class HolderParts:
+    """Hold what a holder works with."""
+
+    store: Store
+    workers: Workers
+    proxy: AdviceProxy
+    clock: Clock
+    table: JobTable
+    jobs_tail: TopicTail
+    registry: Registry
+    config: ConfigView
+    vms: Callable[[], list[EntryVm]]
+    terms: LeaseTerms
+    keep_final_s: float
+    metrics: Metrics
+    jobs_pace_s: float
+
+
+class Holder(HolderRole):
+    """Run one ``Tenancy`` per tenure."""
+
+    def __init__(self, parts: HolderParts) -> None:
+        self._parts = parts
+        self.tenancy: Tenancy | None = None
+        self._idle_pace_s = parts.jobs_tail.pace_s
+
+    async def begin(self, tenure: Tenure) -> None:
+        """Take over the cell."""
+        self._parts.jobs_tail.pace_s = self._parts.jobs_pace_s
+        self._parts.metrics.holding.set(1)
+        self.tenancy = Tenancy(self._parts, tenure)
+        self.tenancy.start()
+
+    async def end(self) -> None:
+        """Stop acting at once."""
+        self._parts.jobs_tail.pace_s = self._idle_pace_s
+        self._parts.metrics.holding.set(0)
+        tenancy, self.tenancy = self.tenancy, None
+        if tenancy is not None:
+            tenancy.close()
+
+
+class Tenancy(TenureGuard):
+    """Act for the cell during one tenure."""
+
+    def __init__(self, parts: HolderParts, tenure: Tenure) -> None:
+        self._parts = parts
+        self._tenure = tenure
+        self._closed = False
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.ledger = Ledger(
+            parts.clock, tenure.epoch, parts.config.config, parts.terms, self._spec_of
+        )
+        self._journal = Journal(
+            parts.store,
+            parts.clock,
+            self.ledger,
+            parts.table,
+            parts.keep_final_s,
+            self.on_fenced,
+        )
+        self._sender = OrderSender(parts.workers, self.ledger, parts.clock, self)
+        self._planner = Planner(self.ledger)
+        self._desk = AdviceDesk(parts.clock, parts.vms, parts.proxy, self.wake)
+
+    def _spec_of(self, job_id: str) -> Any:
+        entry = self._parts.table.by_id.get(job_id)
+        return None if entry is None else entry.spec
+
+    # TenureGuard
+
+    def holds(self) -> bool:
+        """Tell whether the tenure is valid now."""
+        return not self._closed and self._parts.clock.now() < self._tenure.valid_until
+
+    def on_fenced(self) -> None:
+        """End the tenure, since a later holder has acted."""
+        if not self._closed:
+            _LOG.warning("a later holder has acted", epoch=self._tenure.epoch)
+            self._tenure.valid_until = float("-inf")
+            self.close()
+
+    def on_reborn(self, worker: Worker, born_ms: int) -> None:
+        """Replace a worker by its next life."""
+        self._drive(self.ledger.replace_worker(worker, born_ms))
+        self.wake()
+
+    def wake(self) -> None:
+        """Ask for a new round of decisions."""
+        self._wake.set()
+
+    # Life
+
+    def start(self) -> None:
+        """Begin to act."""
+        self._spawn(self._run())
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._closed = True
+        if self._on_job in self._parts.table.listeners:
+            self._parts.table.listeners.remove(self._on_job)
+        self._parts.registry.on_change = None
+        self._desk.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("a task of the holder failed", detail=repr(task.exception()))
+
+    async def _run(self) -> None:
+        parts, ledger = self._parts, self.ledger
+        end = await self._journal.fence()
+        await parts.jobs_tail.reach(end)
+        await parts.config.known()
+        ledger.set_config(parts.config.config)
+        ledger.inherit(list(parts.table.by_id))
+        for job_id, entry in parts.table.by_id.items():
+            ledger.set_job(job_id, entry)
+        parts.table.listeners.append(self._on_job)
+        parts.registry.on_change = self._on_registry
+        self._on_registry()
+        _LOG.info(
+            "read the books",
+            epoch=ledger.epoch,
+            jobs=len(ledger.jobs_by_id),
+            workers=len(ledger.workers_by_id),
+        )
+        self._spawn(self._journal.run())
+        self._spawn(self._forget())
+        await self._decide()
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_EVERY_S)
+            if self.holds():
+                await self._journal.forget_old()
+
+    def _on_job(self, job_id: str) -> None:
+        self.ledger.set_job(job_id, self._parts.table.by_id.get(job_id))
+        self.wake()
+
+    def _on_registry(self) -> None:
+        registry = self._parts.registry
+        fresh = self.ledger.set_workers(
+            list(registry.by_id.values()), registry.recently_left()
+        )
+        for worker in fresh:
+            self._drive(worker)
+        self.wake()
+
+    def _drive(self, worker: Worker) -> None:
+        driver = WorkerDriver(
+            worker,
+            self._parts.workers,
+            self.ledger,
+            self._journal,
+            self._parts.clock,
+            self,
+        )
+        self._spawn(driver.run())
+
+    # Decisions
+
+    async def _decide(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            await asyncio.sleep(ROUND_PAUSE_S)
+            self._wake.clear()
+            if self.holds():
+                self._round()
+
+    def _round(self) -> None:
+        parts, ledger = self._parts, self.ledger
+        if parts.config.config.version != ledger.config.version:
+            ledger.set_config(parts.config.config)
+        ledger.expire()
+        for run in ledger.find_stalled():
+            run.worker.health.quarantine(parts.clock.now())
+            ledger.stop(run, "its progress stands still")
+        stops, ledger.stops = ledger.stops, []
+        for run in stops:
+            self._spawn(self._sender.stop(run))
+        with parts.metrics.decision_s.time():
+            plan = self._planner.plan()
+        self._carry_out(plan)
+        self._journal.notify()
+        ledger.release_final()
+
+    def _carry_out(self, plan: Plan) -> None:
+        for question in plan.questions:
+            self._desk.ask(question)
+        for placement in plan.placements:
+            if placement.renew:
+                self._renew(placement)
+            else:
+                self._dispatch(placement)
+
+    def _dispatch(self, placement: Placement) -> None:
+        job = placement.step.job
+        if job.first_start_at is None:
+            job.first_start_at = self._parts.clock.now()
+            self._parts.metrics.observe_start(
+                job.spec.customer, job.queue.name, job.first_start_at - job.accepted_at
+            )
+        for run in placement.runs:
+            self._spawn(self._sender.start(run, placement.step))
+
+    def _renew(self, placement: Placement) -> None:
+        """Renew the tickets of chosen workers, then start; the room stays charged."""
+        step = placement.step
+        workers = tuple(dict.fromkeys(run.worker for run in placement.runs))
+        if step.advice.asking:
+            self._withdraw(placement.runs)
+            return
+
+        def answered(ok: bool) -> None:
+            planned = tuple(r for r in placement.runs if r.state is RunState.PLANNED)
+            good = [
+                run
+                for run in planned
+                if ok and life_of(run.worker) in step.advice.tickets_by_worker
+            ]
+            if step.spec.gang and len(good) < len(placement.runs):
+                good = []
+            self._withdraw(tuple(run for run in planned if run not in good))
+            if good:
+                self._dispatch(Placement(step, tuple(good), False))
+
+        order = rank(step, Shares(frozenset()), self._parts.clock.now())
+        self._desk.ask(Question(step, workers, order), answered)
+
+    def _withdraw(self, runs: tuple[Run, ...]) -> None:
+        for run in runs:
+            if run.state is RunState.PLANNED:
+                self.ledger.withdraw(run)
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -0,0 +1,157 @@
+"""Jobs and steps as the holder works on them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
+from briarrun_cell.records import JobProgress, StepProgress, progress_key
+from briarrun_cell.workers import Run
+
+GANG = -1
+"""Index under which the failures of a whole gang are counted."""
+
+
+@dataclass(slots=True)
+class Ticket:
+    """Hold a worker's admission ticket; it is good until ``expires_at``."""
+
+    value: str
+    expires_at: float
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """Hold what the advice service approved for a step."""
+
+    tickets_by_worker: dict[str, Ticket] = field(default_factory=dict)
+    asked: frozenset[str] = frozenset()
+    asking: bool = False
+    known: bool = False
+    retry_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Step:
+    """Hold one occurrence of a step: what is waiting, active and done."""
+
+    step_id: StepId
+    job: Job
+    spec: StepSpec
+    progress: StepProgress
+    pending: set[int]
+    active: dict[int, list[Run]] = field(default_factory=dict)
+    advice: StepAdvice = field(default_factory=StepAdvice)
+    failed_on: set[str] = field(default_factory=set)
+    gang_failed_run: int = -1
+    blocked_since: float | None = None
+
+    @property
+    def done(self) -> bool:
+        """Tell whether every task has ended well."""
+        return len(self.progress.done) >= self.spec.count
+
+    @property
+    def startable(self) -> bool:
+        """Tell whether something of the step waits to be placed."""
+        if not self.pending:
+            return False
+        return not self.spec.gang or not self.active
+
+    def runs(self) -> list[Run]:
+        """Return the step's active runs."""
+        return [run for runs in self.active.values() for run in runs]
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Hold a job that is not final; ``due_at`` is by when callers expect its end."""
+
+    spec: JobSpec
+    queue: Queue
+    progress: JobProgress
+    accepted_at: float
+    due_at: float
+    late_at: float
+    steps_by_id: dict[StepId, Step] = field(default_factory=dict)
+    cancelled: bool = False
+    first_start_at: float | None = None
+
+    @property
+    def job_id(self) -> str:
+        """Return the job's id."""
+        return self.spec.job_id
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the outcome is decided."""
+        return self.progress.final is not None
+
+    def ready_steps(self, wall_ms: int) -> list[Step]:
+        """Return the steps whose earlier steps are done and whose time has come."""
+        ready = []
+        for step_id, step in self.steps_by_id.items():
+            if not step.startable:
+                continue
+            if self.spec.due_ms(step_id.occurrence) > wall_ms:
+                continue
+            if all(
+                self.steps_by_id[StepId(self.job_id, step_id.occurrence, earlier)].done
+                for earlier in step.spec.after
+            ):
+                ready.append(step)
+        return ready
+
+    def settle(self, state: JobState, wall_ms: int) -> None:
+        """Decide the outcome."""
+        self.progress.final = state
+        self.progress.final_ms = wall_ms
+
+
+def chain_ms(spec: JobSpec) -> float:
+    """Return the longest chain of estimated run times through the steps."""
+    ends: list[float] = []
+    for number, step in enumerate(spec.steps):
+        earlier = [ends[index] for index in step.after if index < number]
+        ends.append(max(earlier, default=0.0) + step.estimated_ms)
+    return max(ends, default=0.0)
+
+
+ADVICE_WORKERS = 30
+"""Workers that callers' expectation of one advice call is based on."""
+
+LATE_FACTOR = 3.0
+"""A job that ends within this multiple of its objective still has some value."""
+
+
+def objective_s(spec: JobSpec, queue: Queue) -> float:
+    """Return in how many seconds callers expect the job to end."""
+    work_s = chain_ms(spec) / 1000
+    if queue.advice is not None:
+        work_s += queue.advice.call_s(ADVICE_WORKERS)
+    return queue.stretch * work_s + queue.latency_target_s
+
+
+def job_from(
+    spec: JobSpec, queue: Queue, progress: JobProgress | None, now: float, wall_ms: int
+) -> Job:
+    """Return a job with the steps and tasks that are not done."""
+    progress = progress or JobProgress()
+    accepted_at = now - (wall_ms - spec.due_ms(0)) / 1000
+    expected_s = objective_s(spec, queue)
+    job = Job(
+        spec,
+        queue,
+        progress,
+        accepted_at=accepted_at,
+        due_at=accepted_at + expected_s,
+        late_at=accepted_at + LATE_FACTOR * expected_s,
+    )
+    for occurrence in range(spec.runs):
+        for number, step in enumerate(spec.steps):
+            step_id = StepId(spec.job_id, occurrence, number)
+            key = progress_key(occurrence, number)
+            stored = progress.steps_by_key.setdefault(key, StepProgress())
+            pending = set(range(step.count)) - set(stored.done)
+            job.steps_by_id[step_id] = Step(step_id, job, step, stored, pending)
+    return job
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -0,0 +1,156 @@
+"""Store the holder's progress, and acknowledge ends once they are durable."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from briarrun_cell import records
+from briarrun_cell.clock import Clock
+from briarrun_cell.job_table import JobTable
+from briarrun_cell.ledger import Ledger
+from briarrun_cell.logs import PartLog
+from briarrun_cell.model import JobState
+from briarrun_cell.ports import (
+    AppendOutcome,
+    ProducerMark,
+    Record,
+    Store,
+    Topic,
+)
+
+PRODUCER = "holder"
+"""Name under which holders append; a later holder's epoch shuts out an earlier one."""
+
+APPEND_TIMEOUT_S = 0.8
+"""Time after which an append counts as unanswered and is repeated."""
+
+RETRY_S = 0.05
+"""Pause before an append is repeated."""
+
+GATHER_S = 0.008
+"""Time in which progress is gathered into one append."""
+
+MAX_BATCH = 400
+"""Jobs whose progress one append holds."""
+
+_LOG = PartLog("holder")
+
+
+class Journal:
+    """Append the progress of jobs in order, one append at a time."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        ledger: Ledger,
+        table: JobTable,
+        keep_final_s: float,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._ledger = ledger
+        self._table = table
+        self._keep_final_s = keep_final_s
+        self._on_fenced = on_fenced
+        self._sequence = 0
+        self._wake = asyncio.Event()
+        self._stored = asyncio.Event()
+
+    async def fence(self) -> int:
+        """Shut out earlier holders; return the end of the job stream."""
+        return await self._append_until_stored([])
+
+    def notify(self) -> None:
+        """Tell that there may be progress to store."""
+        if self._ledger.dirty:
+            self._wake.set()
+
+    def notify_acknowledgement(self) -> None:
+        """Tell that a worker listed ends; those that change nothing need no append."""
+        self._wake.set()
+
+    async def stored(self, timeout_s: float) -> None:
+        """Wait until the next append succeeded, but not for longer."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._stored.wait()
+        except TimeoutError:
+            return
+
+    async def run(self) -> None:
+        """Store progress until cancelled."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(GATHER_S)
+            self._wake.clear()
+            await self._flush()
+            self.notify()
+
+    async def _flush(self) -> None:
+        ledger = self._ledger
+        acknowledging = [
+            (worker, worker.applied) for worker in ledger.workers_by_id.values()
+        ]
+        job_ids = sorted(ledger.dirty)[:MAX_BATCH]
+        if len(job_ids) < len(ledger.dirty):
+            acknowledging = []
+        ledger.dirty.difference_update(job_ids)
+        batch = [
+            records.progressed(job_id, ledger.jobs_by_id[job_id].progress)
+            for job_id in job_ids
+            if job_id in ledger.jobs_by_id
+        ]
+        if batch:
+            await self._append_until_stored(batch)
+            self._sequence += 1
+        for worker, number in acknowledging:
+            worker.acknowledged = max(worker.acknowledged, number)
+        stored, self._stored = self._stored, asyncio.Event()
+        stored.set()
+        ledger.release_final()
+
+    async def _append_until_stored(self, batch: list[Record]) -> int:
+        while True:
+            end = await self._append(batch)
+            if end is not None:
+                return end
+            await asyncio.sleep(RETRY_S)
+
+    async def _append(self, batch: list[Record]) -> int | None:
+        result = await self._store.append(
+            Topic.JOBS,
+            batch,
+            timeout_s=APPEND_TIMEOUT_S,
+            producer=ProducerMark(PRODUCER, self._ledger.epoch, self._sequence),
+        )
+        if result.outcome is AppendOutcome.DONE:
+            return result.end
+        if result.outcome is AppendOutcome.FENCED:
+            self._on_fenced()
+            await asyncio.Future()  # The tenure is over; it cancels this task.
+        _LOG.warning(
+            "progress was not stored",
+            outcome=result.outcome,
+            detail=result.detail,
+            records=len(batch),
+        )
+        return None
+
+    async def forget_old(self) -> None:
+        """Drop jobs that have been final for longer than callers may ask for them."""
+        oldest_ms = self._clock.wall_ms() - int(self._keep_final_s * 1000)
+        for job_id, entry in list(self._table.by_id.items()):
+            progress = entry.progress
+            if progress is None or progress.final is None:
+                continue
+            if progress.final is JobState.CANCELLED and not entry.cancelled:
+                continue
+            if progress.final_ms < oldest_ms:
+                await self._store.append(
+                    Topic.JOBS,
+                    records.forgotten(job_id),
+                    timeout_s=APPEND_TIMEOUT_S,
+                )
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -0,0 +1,531 @@
+"""The holder's account of every run, room, limit and outcome. Pure: no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from briarrun_cell.clock import Clock
+from briarrun_cell.job_table import JobEntry
+from briarrun_cell.jobs import GANG, Job, Step, job_from
+from briarrun_cell.logs import PartLog
+from briarrun_cell.model import (
+    CellConfig,
+    EndKind,
+    EndReport,
+    Inventory,
+    JobSpec,
+    JobState,
+    RunReport,
+    TaskId,
+    WorkerEntry,
+)
+from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_core.resources import NOTHING, Resources
+
+RUN_BITS = 20
+"""Runs of one holder are numbered below its epoch's shifted by this many bits, so that
+numbers rise from holder to holder."""
+
+STALL_S = 2.0
+"""A run whose progress stands still for this long is taken to hang."""
+
+MISSING_LOOKS = 2
+"""A run that this many inventories in a row do not list is taken to be gone."""
+
+_LOG = PartLog("holder")
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """Hold for how long runs are leased, and how long a start order stays good."""
+
+    lease_s: float
+    start_s: float
+    longest_s: float
+
+
+class Ledger:
+    """Keep the books of one tenure.
+
+    ``stops`` collects runs that must be stopped, ``dirty`` jobs whose progress must
+    be stored.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        epoch: int,
+        config: CellConfig,
+        terms: LeaseTerms,
+        spec_of: Callable[[str], JobSpec | None],
+    ) -> None:
+        self.clock = clock
+        self.epoch = epoch
+        self.config = config
+        self.terms = terms
+        self._spec_of = spec_of
+        self.workers_by_id: dict[str, Worker] = {}
+        self.jobs_by_id: dict[str, Job] = {}
+        self.usage_by_customer: dict[str, Resources] = {}
+        self.stops: list[Run] = []
+        self.dirty: set[str] = set()
+        self.began_at = clock.now()
+        self._next_run = epoch << RUN_BITS
+        self._inherited: set[str] = set()
+        self._released: set[str] = set()
+        self.settled = False
+
+    # Workers
+
+    def set_workers(
+        self, entries: list[WorkerEntry], left: list[WorkerEntry]
+    ) -> list[Worker]:
+        """Take over the registry; return the workers that are new."""
+        by_id = {entry.worker_id: entry for entry in entries}
+        fresh = []
+        for worker_id, worker in list(self.workers_by_id.items()):
+            worker.listed = worker_id in by_id
+            if not worker.listed and not worker.runs_by_id and worker.resolved:
+                self.forget_worker(worker)
+        initial = not self.workers_by_id
+        for entry in entries + (left if initial else []):
+            known = self.workers_by_id.get(entry.worker_id)
+            if known is not None and known.entry.born_ms >= entry.born_ms:
+                if known.entry.born_ms == entry.born_ms:
+                    known.entry = replace(entry, draining=entry.draining)
+                continue
+            if known is not None:
+                self.on_worker_dead(known, "started again under its id")
+            worker = Worker(entry, lease_end=self.began_at + self.terms.longest_s)
+            worker.listed = entry.worker_id in by_id
+            self.workers_by_id[entry.worker_id] = worker
+            fresh.append(worker)
+        return fresh
+
+    def replace_worker(self, worker: Worker, born_ms: int) -> Worker:
+        """Enter the next life of a worker under the same id."""
+        self.on_worker_dead(worker, "started again under its id")
+        entry = replace(worker.entry, born_ms=born_ms)
+        fresh = Worker(entry, lease_end=self.clock.now() + self.terms.longest_s)
+        self.workers_by_id[entry.worker_id] = fresh
+        return fresh
+
+    def forget_worker(self, worker: Worker) -> None:
+        """Drop a worker that runs nothing."""
+        worker.dead = True
+        if self.workers_by_id.get(worker.worker_id) is worker:
+            del self.workers_by_id[worker.worker_id]
+
+    def on_worker_dead(self, worker: Worker, reason: str) -> None:
+        """Take note that this life of a worker runs nothing any more."""
+        if worker.dead:
+            return
+        _LOG.warning(
+            "a worker's life ended",
+            worker=worker.worker_id,
+            reason=reason,
+            runs=len(worker.runs_by_id),
+        )
+        for run in list(worker.runs_by_id.values()):
+            self._drop_run(run)
+            self._requeue(run.task, run.checkpoint)
+        self.forget_worker(worker)
+
+    def expire(self) -> None:
+        """Give up on workers whose every lease has lapsed without contact."""
+        now = self.clock.now()
+        for worker in list(self.workers_by_id.values()):
+            silent = now >= worker.lease_end and worker.contact_at < worker.lease_end
+            if silent and (worker.runs_by_id or not worker.resolved):
+                for run in list(worker.runs_by_id.values()):
+                    _LOG.warning(
+                        "a run's lease lapsed without contact",
+                        job=run.task.job_id,
+                        task=run.task,
+                        run=run.number,
+                        worker=worker.worker_id,
+                    )
+                    self._drop_run(run)
+                    self._requeue(run.task, run.checkpoint)
+                worker.resolved = True
+            if not worker.listed and not worker.runs_by_id and worker.resolved:
+                self.forget_worker(worker)
+        if not self.settled and all(
+            worker.resolved for worker in self.workers_by_id.values()
+        ):
+            self._settle()
+
+    def _settle(self) -> None:
+        """Begin to start inherited work: every older run is known or has lapsed."""
+        self.settled = True
+        self._inherited.clear()
+        for job in self.jobs_by_id.values():
+            for step in job.steps_by_id.values():
+                members = len(step.active)
+                if step.spec.gang and 0 < members < step.spec.count:
+                    for run in step.runs():
+                        self.stop(run, "the gang is incomplete after a takeover")
+
+    def may_start(self, job: Job) -> bool:
+        """Tell whether no run of the job can exist that is not in the books."""
+        return self.settled or job.job_id not in self._inherited
+
+    # Jobs
+
+    def inherit(self, job_ids: list[str]) -> None:
+        """Name the jobs that an earlier holder may have started."""
+        self._inherited.update(job_ids)
+
+    def set_job(self, job_id: str, entry: JobEntry | None) -> None:
+        """Take over a job's acceptance or cancellation."""
+        if entry is None or entry.spec is None:
+            return
+        job = self.jobs_by_id.get(job_id)
+        finished = entry.progress is not None and entry.progress.final is not None
+        if job_id in self._released:
+            # The stream runs behind the books: the outcome is stored, not yet read.
+            if finished:
+                self._released.discard(job_id)
+            return
+        if job is None and not finished:
+            queue = self.config.queues_by_name.get(entry.spec.queue)
+            job = job_from(
+                entry.spec,
+                queue or entry.spec.terms,
+                entry.progress,
+                self.clock.now(),
+                self.clock.wall_ms(),
+            )
+            self.jobs_by_id[job_id] = job
+        if job is not None and entry.cancelled and not job.cancelled:
+            self._cancel(job)
+
+    def set_config(self, config: CellConfig) -> None:
+        """Take over a newer configuration; removed queues keep their accepted jobs."""
+        self.config = config
+        for job in self.jobs_by_id.values():
+            queue = config.queues_by_name.get(job.spec.queue)
+            if queue is not None:
+                job.queue = queue
+
+    def _cancel(self, job: Job) -> None:
+        job.cancelled = True
+        if not job.final:
+            self._finish(job, JobState.CANCELLED)
+
+    def _finish(self, job: Job, state: JobState) -> None:
+        job.settle(state, self.clock.wall_ms())
+        self.dirty.add(job.job_id)
+        _LOG.info("a job is final", job=job.job_id, state=state)
+        for step in job.steps_by_id.values():
+            step.pending.clear()
+            for run in step.runs():
+                self.stop(run, f"the job is {state}")
+
+    # Runs
+
+    def place(self, step: Step, index: int, worker: Worker) -> Run:
+        """Charge a run that is about to be ordered."""
+        self._next_run += 1
+        return self._charge(step, index, worker, self._next_run, RunState.PLANNED)
+
+    def place_gang(self, step: Step, workers: list[Worker]) -> list[Run]:
+        """Charge all members of a gang under one run number."""
+        self._next_run += 1
+        return [
+            self._charge(step, index, worker, self._next_run, RunState.PLANNED)
+            for index, worker in enumerate(workers)
+        ]
+
+    def _charge(
+        self, step: Step, index: int, worker: Worker, number: int, state: RunState
+    ) -> Run:
+        need = step.spec.need
+        if step.spec.filler:
+            need = replace(need, cores=0)
+        now = self.clock.now()
+        run = Run(
+            task=step.step_id.task(index),
+            number=number,
+            worker=worker,
+            customer=step.job.spec.customer,
+            need=need,
+            charge=step.spec.need,
+            state=state,
+            since=now,
+            percent_at=now,
+            checkpoint=step.progress.checkpoints_by_index.get(index, ""),
+        )
+        worker.charge(run)
+        step.pending.discard(index)
+        step.active.setdefault(index, []).append(run)
+        used = self.usage_by_customer.get(run.customer, NOTHING)
+        self.usage_by_customer[run.customer] = used + run.charge
+        return run
+
+    def _drop_run(self, run: Run) -> None:
+        """Free what a run occupies."""
+        if (run.task, run.number) not in run.worker.runs_by_id:
+            return
+        run.worker.release(run)
+        used = self.usage_by_customer.get(run.customer, NOTHING)
+        self.usage_by_customer[run.customer] = used - run.charge
+        step = self.step_of(run.task)
+        if step is None:
+            return
+        active = step.active.get(run.task.ordinal, [])
+        if run in active:
+            active.remove(run)
+        if not active:
+            step.active.pop(run.task.ordinal, None)
+
+    def step_of(self, task: TaskId) -> Step | None:
+        """Return the step of a task if its job is not forgotten."""
+        job = self.jobs_by_id.get(task.job_id)
+        return None if job is None else job.steps_by_id.get(task.step_id)
+
+    def _requeue(self, task: TaskId, checkpoint: str) -> None:
+        """Put a task back if nothing else runs it and its job goes on."""
+        step = self.step_of(task)
+        if step is None or step.job.final or not 0 <= task.ordinal < step.spec.count:
+            return
+        if checkpoint:
+            step.progress.checkpoints_by_index[task.ordinal] = checkpoint
+        if task.ordinal in step.progress.done or task.ordinal in step.active:
+            return
+        step.pending.add(task.ordinal)
+
+    def withdraw(self, run: Run) -> None:
+        """Free a run that was certainly never started."""
+        self._drop_run(run)
+        self._requeue(run.task, "")
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Mark a run to be stopped; it stays charged until its end is known."""
+        if run.state is RunState.PLANNED:
+            self.withdraw(run)
+        elif run.state is not RunState.STOPPING:
+            run.state = RunState.STOPPING
+            run.stop_reason = reason
+            run.since = self.clock.now()
+            run.answered_at = None
+            self.stops.append(run)
+
+    def on_started(self, run: Run) -> None:
+        """Take note that a worker confirmed a start."""
+        now = self.clock.now()
+        run.answered_at = now
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.since = now
+            run.percent_at = now
+        job = self.jobs_by_id.get(run.task.job_id)
+        if job is not None:
+            self._note_begun(job)
+
+    def _note_begun(self, job: Job) -> None:
+        if not job.progress.begun:
+            job.progress.begun = True
+            job.first_start_at = self.clock.now()
+            self.dirty.add(job.job_id)
+
+    # Reports of workers
+
+    def on_inventory(
+        self, worker: Worker, inventory: Inventory, asked_at: float
+    ) -> bool:
+        """Take over a worker's inventory; return whether it listed new ends."""
+        now = self.clock.now()
+        if worker.dead:
+            return False
+        worker.contact_at = now
+        worker.clock_ms, worker.clock_at = inventory.clock_ms, now
+        news = False
+        for end in inventory.ended:
+            if end.number > worker.applied:
+                worker.applied = end.number
+                self._on_end(worker, end)
+                news = True
+        listed = {(report.task, report.run): report for report in inventory.running}
+        for key, report in listed.items():
+            run = worker.runs_by_id.get(key)
+            if run is None:
+                self._adopt(worker, report)
+            else:
+                self._refresh(run, report, now)
+        for key, run in list(worker.runs_by_id.items()):
+            if key not in listed:
+                self._check_missing(run, inventory, asked_at)
+        worker.resolved = True
+        return news
+
+    def _refresh(self, run: Run, report: RunReport, now: float) -> None:
+        run.missing_looks = 0
+        if run.state is RunState.STARTING:
+            self.on_started(run)
+        if report.checkpoint:
+            run.checkpoint = report.checkpoint
+        if report.percent != run.percent:
+            run.percent, run.percent_at = report.percent, now
+
+    def _adopt(self, worker: Worker, report: RunReport) -> None:
+        """Enter a run of an earlier holder, or one that was started late."""
+        task = report.task
+        step = self.step_of(task)
+        valid = step is not None and 0 <= task.ordinal < step.spec.count
+        if step is None or not valid:
+            spec = self._spec_of(task.job_id)
+            need = NOTHING
+            if spec is not None and task.step < len(spec.steps):
+                need = spec.steps[task.step].need
+            stray = Run(
+                task,
+                report.run,
+                worker,
+                spec.customer if spec is not None else "",
+                need,
+                need,
+                RunState.RUNNING,
+                self.clock.now(),
+            )
+            worker.charge(stray)
+            used = self.usage_by_customer.get(stray.customer, NOTHING)
+            self.usage_by_customer[stray.customer] = used + need
+            self.stop(stray, "the task is not wanted")
+            return
+        others = [run for run in step.active.get(task.ordinal, [])]
+        run = self._charge(step, task.ordinal, worker, report.run, RunState.RUNNING)
+        run.answered_at = self.clock.now()
+        run.checkpoint = report.checkpoint or run.checkpoint
+        run.percent = report.percent
+        self._note_begun(step.job)
+        if step.job.final or task.ordinal in step.progress.done:
+            self.stop(run, "the task is not wanted")
+        elif others and not step.spec.duplicates_allowed:
+            self.stop(run, "the task runs elsewhere")
+        elif step.spec.gang and any(
+            other.number != report.run for other in step.runs()
+        ):
+            self.stop(run, "the gang has another run")
+
+    def _check_missing(self, run: Run, inventory: Inventory, asked_at: float) -> None:
+        """Settle a run that an inventory does not list and whose end is not listed."""
+        if run.state is RunState.PLANNED:
+            return
+        if run.state is RunState.STARTING:
+            if inventory.clock_ms > run.order_until_ms > 0:
+                self.withdraw(run)
+            return
+        if run.answered_at is None or asked_at < run.answered_at:
+            return
+        run.missing_looks += 1
+        if run.missing_looks >= MISSING_LOOKS or run.state is RunState.STOPPING:
+            self._drop_run(run)
+            self._requeue(run.task, run.checkpoint)
+
+    def _on_end(self, worker: Worker, end: EndReport) -> None:
+        now = self.clock.now()
+        run = worker.runs_by_id.get((end.task, end.run))
+        if run is not None:
+            self._drop_run(run)
+        _LOG.info(
+            "a run ended",
+            job=end.task.job_id,
+            task=end.task,
+            run=end.run,
+            worker=worker.worker_id,
+            how=end.kind,
+        )
+        step = self.step_of(end.task)
+        if step is None or not 0 <= end.task.ordinal < step.spec.count:
+            return
+        self._judge(worker, step, run, end.kind, now)
+        if end.kind is EndKind.DONE and not step.spec.service:
+            self._on_done(step, end)
+        elif end.kind is EndKind.FAILED and not step.spec.service:
+            self._on_failed(worker, step, end)
+        if end.checkpoint and step.spec.gang:
+            for index in range(step.spec.count):
+                step.progress.checkpoints_by_index[index] = end.checkpoint
+        self._requeue(end.task, "" if step.spec.gang else end.checkpoint)
+        if step.spec.gang and not step.job.final and not step.done:
+            self._requeue_gang(step)
+        self.dirty.add(end.task.job_id)
+
+    def _requeue_gang(self, step: Step) -> None:
+        if not step.active:
+            step.pending = set(range(step.spec.count))
+            for index in step.pending:
+                first = step.progress.checkpoints_by_index.get(0, "")
+                if first:
+                    step.progress.checkpoints_by_index[index] = first
+
+    def _judge(
+        self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
+    ) -> None:
+        if kind is EndKind.DONE and run is not None:
+            if not run.checkpoint:
+                worker.health.on_done(now - run.since, step.spec.estimated_ms / 1000)
+        elif kind is EndKind.FAILED:
+            worker.health.on_failed(now)
+            step.failed_on.add(worker.worker_id)
+
+    def _on_done(self, step: Step, end: EndReport) -> None:
+        done = set(step.progress.done)
+        done |= set(range(step.spec.count)) if step.spec.gang else {end.task.ordinal}
+        step.progress.done = sorted(done)
+        step.pending -= done
+        step.progress.checkpoints_by_index = {
+            index: saved
+            for index, saved in step.progress.checkpoints_by_index.items()
+            if index not in done
+        }
+        if not step.spec.gang:
+            for other in list(step.active.get(end.task.ordinal, [])):
+                self.stop(other, "another copy is done")
+        job = step.job
+        if not job.final and all(each.done for each in job.steps_by_id.values()):
+            self._finish(job, JobState.COMPLETED)
+
+    def _on_failed(self, worker: Worker, step: Step, end: EndReport) -> None:
+        index = GANG if step.spec.gang else end.task.ordinal
+        failures = step.progress.failures_by_index
+        if step.spec.gang and step.gang_failed_run == end.run:
+            return
+        step.gang_failed_run = end.run
+        failures[index] = failures.get(index, 0) + 1
+        if failures[index] >= step.job.queue.max_attempts and not step.job.final:
+            _LOG.warning(
+                "a task failed for the last time",
+                job=end.task.job_id,
+                task=end.task,
+                attempts=failures[index],
+                worker=worker.worker_id,
+            )
+            self._finish(step.job, JobState.FAILED)
+
+    def find_stalled(self) -> list[Run]:
+        """Return runs whose progress stands still though their worker answers."""
+        now = self.clock.now()
+        stalled = []
+        for worker in self.workers_by_id.values():
+            for run in worker.runs_by_id.values():
+                step = self.step_of(run.task)
+                if step is None or step.spec.service or run.percent >= 100:
+                    continue
+                if run.state is not RunState.RUNNING:
+                    continue
+                patience_s = STALL_S + step.spec.estimated_ms / 1000 * 0.15
+                if now - max(run.percent_at, run.since) > patience_s:
+                    stalled.append(run)
+        return stalled
+
+    def release_final(self) -> None:
+        """Forget final jobs that run nothing and whose outcome is being stored."""
+        for job_id, job in list(self.jobs_by_id.items()):
+            if not job.final or job_id in self.dirty:
+                continue
+            if all(not step.active for step in job.steps_by_id.values()):
+                del self.jobs_by_id[job_id]
+                self._released.add(job_id)
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -0,0 +1,70 @@
+"""Prometheus metrics of one entry VM."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+_WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 15.0)
+_DECISION_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.1)
+
+
+class Metrics:
+    """Hold the metrics of one process in a registry of their own."""
+
+    def __init__(self) -> None:
+        registry = self.registry = CollectorRegistry()
+        self.calls = Counter(
+            "briarrun_calls",
+            "Callers' requests, by customer, kind and status.",
+            ("customer", "kind", "status"),
+            registry=registry,
+        )
+        self.call_s = Histogram(
+            "briarrun_call_seconds",
+            "Time from a caller's request to its answer, by customer and kind.",
+            ("customer", "kind"),
+            buckets=_WAIT_BUCKETS_S,
+            registry=registry,
+        )
+        self.start_wait_s = Histogram(
+            "briarrun_start_wait_seconds",
+            "Time from a job's due time to its first start, by customer and queue.",
+            ("customer", "queue"),
+            buckets=_WAIT_BUCKETS_S,
+            registry=registry,
+        )
+        self.decision_s = Histogram(
+            "briarrun_decision_seconds",
+            "Time of one round of decisions.",
+            buckets=_DECISION_BUCKETS_S,
+            registry=registry,
+        )
+        self.holding = Gauge(
+            "briarrun_holding", "1 while this VM holds the cell.", registry=registry
+        )
+        self.config_version = Gauge(
+            "briarrun_config_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self.dropped_log_lines = Gauge(
+            "briarrun_dropped_log_lines",
+            "Log lines dropped since the last notice of it.",
+            registry=registry,
+        )
+
+    def observe_call(
+        self, customer: str, kind: str, status: int, seconds: float
+    ) -> None:
+        """Count an answered request and its time."""
+        self.calls.labels(customer, kind, str(status)).inc()
+        self.call_s.labels(customer, kind).observe(seconds)
+
+    def observe_start(self, customer: str, queue: str, seconds: float) -> None:
+        """Note how long a job waited for its first start."""
+        self.start_wait_s.labels(customer, queue).observe(max(0.0, seconds))
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus scrapes."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/nodes.py
@@ -0,0 +1,47 @@
+"""Entry VMs of the cell and how to reach them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from briarrun_cell.logs import PartLog
+from briarrun_cell.ports import Record
+from briarrun_cell.tail import TopicReader
+
+_LOG = PartLog("registry")
+
+
+class EntryVm(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a process on an entry VM."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+
+
+class EntryVmTable(TopicReader):
+    """Fold the stream of entry VMs."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, EntryVm] = {}
+
+    def on_snapshot(self, records: Sequence[Record], asked_at: float) -> None:
+        """Replace the table."""
+        self.by_name = {}
+        self.on_records(records, asked_at)
+
+    def on_records(self, records: Sequence[Record], asked_at: float) -> None:
+        """Add or replace entries."""
+        for record in records:
+            if record.value is None:
+                self.by_name.pop(record.key, None)
+                continue
+            try:
+                entry = msgspec.json.decode(record.value, type=EntryVm)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                _LOG.warning("ignored an unreadable entry VM", detail=str(error))
+                continue
+            self.by_name[record.key] = entry
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/ranking.py
@@ -0,0 +1,84 @@
+"""Order of waiting work when capacity is tight.
+
+Answers the loads in which a burst of one kind, or one customer far beyond its share,
+competes with everybody else for the same workers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+
+from briarrun_cell.jobs import Job, Step
+from briarrun_cell.model import CellConfig
+from briarrun_core.resources import NOTHING, Resources
+
+SHARE_TOLERANCE = 1.5
+"""A customer may use this multiple of its share before others go first."""
+
+
+class Prospect(IntEnum):
+    """Tell whether a job can still end in the time that its caller expects."""
+
+    ON_TIME = 0
+    LATE = 1
+    HOPELESS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Tell which customers use more than their share of the cell."""
+
+    over: frozenset[str]
+
+    @classmethod
+    def measure(
+        cls,
+        config: CellConfig,
+        usage_by_customer: Mapping[str, Resources],
+        total: Resources,
+    ) -> Shares:
+        """Compare each customer's dominant fraction with its part of all weights."""
+        weights = sum(each.weight for each in config.customers_by_name.values())
+        over = set()
+        for name, customer in config.customers_by_name.items():
+            used = usage_by_customer.get(name, NOTHING).dominant_fraction(total)
+            share = customer.weight / weights if weights else 1.0
+            if used > SHARE_TOLERANCE * share:
+                over.add(name)
+        return cls(frozenset(over))
+
+
+def remaining_s(job: Job, step: Step) -> float:
+    """Return the shortest time in which the job can end from this step on."""
+    ends: dict[int, float] = {}
+    for number, spec in enumerate(job.spec.steps):
+        if number < step.step_id.step:
+            ends[number] = 0.0
+            continue
+        earlier = [ends[index] for index in spec.after if index in ends]
+        ends[number] = max(earlier, default=0.0) + spec.estimated_ms / 1000
+    return max(ends.values(), default=0.0)
+
+
+def prospect(job: Job, step: Step, now: float) -> Prospect:
+    """Return whether the job can still be on time if the step starts now."""
+    end = now + remaining_s(job, step)
+    if end <= job.due_at:
+        return Prospect.ON_TIME
+    return Prospect.LATE if end <= job.late_at else Prospect.HOPELESS
+
+
+Rank = tuple[int, int, bool, float]
+
+
+def rank(step: Step, shares: Shares, now: float) -> Rank:
+    """Return the place of a step in the order of starting; lower goes first."""
+    job = step.job
+    return (
+        prospect(job, step, now) is Prospect.HOPELESS,
+        job.queue.priority,
+        job.spec.customer in shares.over,
+        job.due_at - remaining_s(job, step),
+    )
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -0,0 +1,91 @@
+"""Records of the job stream and their keys."""
+
+from __future__ import annotations
+
+import msgspec
+
+from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.ports import Record
+
+_JOB = "j/"
+_CANCEL = "c/"
+_PROGRESS = "p/"
+
+
+class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Hold what is durable of one occurrence of a step.
+
+    ``failures_by_index`` counts failed attempts; a gang counts all of its under -1.
+    """
+
+    done: list[int] = []
+    failures_by_index: dict[int, int] = {}
+    checkpoints_by_index: dict[int, str] = {}
+
+
+class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """Hold what is durable of a job; steps are keyed ``occurrence.step``."""
+
+    begun: bool = False
+    steps_by_key: dict[str, StepProgress] = {}
+    final: JobState | None = None
+    final_ms: int = 0
+
+
+class Cancellation(msgspec.Struct, kw_only=True):
+    """Hold when a caller cancelled a job."""
+
+    cancelled_ms: int
+
+
+def progress_key(occurrence: int, step: int) -> str:
+    """Return the key of a step's progress."""
+    return f"{occurrence}.{step}"
+
+
+def accepted(spec: JobSpec) -> Record:
+    """Return the record that accepts a job."""
+    return Record(_JOB + spec.job_id, msgspec.json.encode(spec))
+
+
+def cancelled(job_id: str, now_ms: int) -> Record:
+    """Return the record that cancels a job."""
+    value = msgspec.json.encode(Cancellation(cancelled_ms=now_ms))
+    return Record(_CANCEL + job_id, value)
+
+
+def progressed(job_id: str, progress: JobProgress) -> Record:
+    """Return the record of a job's progress, which replaces the last one."""
+    return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
+
+
+def forgotten(job_id: str) -> list[Record]:
+    """Return the records that drop all keys of a job."""
+    return [Record(prefix + job_id, None) for prefix in (_JOB, _CANCEL, _PROGRESS)]
+
+
+class UnreadableRecord(ValueError):  # noqa: N818 - names the record
+    """A record of the job stream cannot be decoded."""
+
+
+def decode(
+    record: Record,
+) -> tuple[str, JobSpec | Cancellation | JobProgress | None]:
+    """Return the job id and content of a record; None if it drops the key.
+
+    Raises ``UnreadableRecord``.
+    """
+    kind, job_id = record.key[:2], record.key[2:]
+    types: dict[str, type[JobSpec] | type[Cancellation] | type[JobProgress]] = {
+        _JOB: JobSpec,
+        _CANCEL: Cancellation,
+        _PROGRESS: JobProgress,
+    }
+    if kind not in types or not job_id:
+        raise UnreadableRecord(f"unknown key {record.key!r}")
+    if record.value is None:
+        return job_id, None
+    try:
+        return job_id, msgspec.json.decode(record.value, type=types[kind])
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise UnreadableRecord(f"{record.key}: {error}") from error
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -0,0 +1,132 @@
+"""Follow one topic of the store: its newest records, then every later one."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from briarrun_cell.clock import Clock
+from briarrun_cell.logs import PartLog
+from briarrun_cell.ports import (
+    HistoryTruncated,
+    Record,
+    Store,
+    StoreUnavailable,
+    Topic,
+)
+
+RETRY_S = 0.1
+"""Pause after a read without an answer."""
+
+ANSWER_TIMEOUT_S = 0.8
+"""Time beyond the requested wait after which a read counts as lost."""
+
+_LOG = PartLog("store")
+
+
+class TopicReader(ABC):
+    """Take the records of a topic."""
+
+    @abstractmethod
+    def on_snapshot(self, records: Sequence[Record], asked_at: float) -> None:
+        """Replace what is known by the newest record of each key."""
+
+    @abstractmethod
+    def on_records(self, records: Sequence[Record], asked_at: float) -> None:
+        """Take further records; ``asked_at`` is when the read was sent."""
+
+
+class TopicTail:
+    """Read one topic for good; ``pace_s`` gathers records between reads.
+
+    ``confirmed_at`` is the time of sending of the last read that reached the end, so
+    everything written before it is known.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        topic: Topic,
+        reader: TopicReader,
+        clock: Clock,
+        *,
+        wait_s: float,
+        pace_s: float = 0.0,
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._reader = reader
+        self._clock = clock
+        self._wait_s = wait_s
+        self.pace_s = pace_s
+        self.next_offset: int | None = None
+        self.confirmed_at: float | None = None
+        self._available = True
+        self._progress = asyncio.Event()
+
+    def age_s(self) -> float:
+        """Return the age of what is known; infinite before the first read."""
+        if self.confirmed_at is None:
+            return float("inf")
+        return self._clock.now() - self.confirmed_at
+
+    async def reach(self, end: int) -> None:
+        """Wait until every record before an offset has been taken."""
+        while self.next_offset is None or self.next_offset < end:
+            self._progress.clear()
+            await self._progress.wait()
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                if self.next_offset is None:
+                    await self._load()
+                else:
+                    await self._follow(self.next_offset)
+            except HistoryTruncated:
+                _LOG.warning("history was truncated", topic=self._topic)
+                self.next_offset = None
+            except StoreUnavailable as error:
+                self._note(False, str(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _load(self) -> None:
+        asked_at = self._clock.now()
+        result = await self._store.newest(self._topic, timeout_s=ANSWER_TIMEOUT_S)
+        self._reader.on_snapshot(result.records, asked_at)
+        self._advance(result.end, asked_at)
+
+    async def _follow(self, start: int) -> None:
+        asked_at = self._clock.now()
+        result = await self._store.read(
+            self._topic,
+            start,
+            wait_s=self._wait_s,
+            timeout_s=self._wait_s + ANSWER_TIMEOUT_S,
+        )
+        following = start + len(result.records)
+        if result.records:
+            self._reader.on_records(result.records, asked_at)
+        if following >= result.end:
+            self._advance(following, asked_at)
+        else:
+            self._advance(following, None)
+        if self.pace_s and result.records:
+            await asyncio.sleep(self.pace_s)
+
+    def _advance(self, following: int, confirmed_at: float | None) -> None:
+        self.next_offset = following
+        if confirmed_at is not None:
+            self.confirmed_at = confirmed_at
+        self._note(True, "")
+        self._progress.set()
+
+    def _note(self, available: bool, detail: str) -> None:
+        if available != self._available:
+            self._available = available
+            if available:
+                _LOG.info("reads are answered again", topic=self._topic)
+            else:
+                _LOG.warning("reads fail", topic=self._topic, detail=detail)
