Count a failed end once, end leases of unreachable workers, refuse known outages at once

Cause: two holders read the same unacknowledged end; a look that never left kept extending the lease on the books; calls waited for a silent store. Ruled out: lost ends (all were listed). Change: failed runs are stored by number; a look that was not sent extends nothing; a write is refused when no read was answered for 1.9 s.

--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -57,10 +57,10 @@
 REGISTRY_PACE_S = 0.2
 """Pause between reads of the worker registry."""
 
-READY_CONFIG_AGE_S = 2.4
+READY_CONFIG_AGE_S = 1.9
 """A VM whose configuration is older takes no new connections."""
 
-READY_VIEW_AGE_S = 3.0
+READY_VIEW_AGE_S = 1.9
 """A VM whose view of the jobs is older takes no new connections."""
 
 LEASE_S = 4.5
--- a/packages/cell/src/briarrun_cell/front.py
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -17,12 +17,17 @@
 from briarrun_cell.ports import Record
 from briarrun_cell.tail import TopicTail
 
-WRITE_PATIENCE_S = 0.5
-"""Time for which a write that the store refused is tried again."""
+WRITE_PATIENCE_S = 0.1
+"""Time for which a write that the store refused is tried again; another VM may have a
+better way to the store, so that a quick refusal serves the caller best."""
 
-UNSETTLED_PATIENCE_S = 1.6
+UNSETTLED_PATIENCE_S = 0.9
 """Time for which a write whose answer was lost is tried again."""
 
+STORE_SILENCE_S = 1.9
+"""The store counts as unreachable when no read has reached its end for this long; it is
+longer than one read waits."""
+
 VIEW_AGE_S = 2.0
 """A job that is not known counts as nonexistent only if the view is younger."""
 
@@ -162,7 +167,19 @@
             return named_for(reply, Verdict.CANCELLED, customer)
         return Reply(Verdict.CANCELLED, customer=customer)
 
+    @property
+    def store_is_silent(self) -> bool:
+        """Tell whether the store is known to be unreachable from here."""
+        silence_s = min(self._config_tail.age_s(), self._jobs_tail.age_s())
+        return silence_s > STORE_SILENCE_S
+
     async def _write(self, record: Record) -> Reply:
+        if self.store_is_silent:
+            return Reply(
+                Verdict.NOT_RUN,
+                retry_after_s=RETRY_AFTER_S,
+                detail="the store is unreachable",
+            )
         outcome = await self._writer.write(
             record, WRITE_PATIENCE_S, UNSETTLED_PATIENCE_S
         )
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -43,7 +43,6 @@
     active: dict[int, list[Run]] = field(default_factory=dict)
     advice: StepAdvice = field(default_factory=StepAdvice)
     failed_on: set[str] = field(default_factory=set)
-    gang_failed_run: int = -1
     blocked_since: float | None = None
 
     @property
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -136,8 +136,7 @@
         """Give up on workers whose every lease has lapsed without contact."""
         now = self.clock.now()
         for worker in list(self.workers_by_id.values()):
-            silent = now >= worker.lease_end and worker.contact_at < worker.lease_end
-            if silent and (worker.runs_by_id or not worker.resolved):
+            if worker.lapsed(now) and (worker.runs_by_id or not worker.resolved):
                 for run in list(worker.runs_by_id.values()):
                     _LOG.warning(
                         "a run's lease lapsed without contact",
@@ -490,17 +489,17 @@
 
     def _on_failed(self, worker: Worker, step: Step, end: EndReport) -> None:
         index = GANG if step.spec.gang else end.task.ordinal
-        failures = step.progress.failures_by_index
-        if step.spec.gang and step.gang_failed_run == end.run:
+        failed_runs = step.progress.failed_runs_by_index.setdefault(index, [])
+        if end.run in failed_runs:
             return
-        step.gang_failed_run = end.run
-        failures[index] = failures.get(index, 0) + 1
-        if failures[index] >= step.job.queue.max_attempts and not step.job.final:
+        failed_runs.append(end.run)
+        attempts = len(failed_runs)
+        if attempts >= step.job.queue.max_attempts and not step.job.final:
             _LOG.warning(
                 "a task failed for the last time",
                 job=end.task.job_id,
                 task=end.task,
-                attempts=failures[index],
+                attempts=attempts,
                 worker=worker.worker_id,
             )
             self._finish(step.job, JobState.FAILED)
--- a/packages/cell/src/briarrun_cell/logs.py
+++ b/packages/cell/src/briarrun_cell/logs.py
@@ -12,7 +12,7 @@
 
 from briarrun_cell.clock import Clock
 
-MAX_LINES_PER_S = 150
+MAX_LINES_PER_S = 400
 """Lines that one process writes per second; further ones are counted and dropped."""
 
 MAX_PENDING_BYTES = 256 * 1024
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -230,10 +230,8 @@
         until_ms = None
         if worker.clock_ms:
             until_ms = worker.clock_now_ms(asked_at) + int(ledger.terms.lease_s * 1000)
-            longest_s = ledger.terms.lease_s + LOOK_TIMEOUT_S
-            worker.lease_end = max(
-                worker.lease_end, asked_at + longest_s * (1 + 2 * CLOCK_DRIFT)
-            )
+            longest_s = ledger.terms.lease_s * (1 + 2 * CLOCK_DRIFT)
+            worker.asked_lease_end = asked_at + longest_s
         timeout_s = wait_s + (FIRST_LOOK_TIMEOUT_S if first else LOOK_TIMEOUT_S)
         answer = await self._workers.look(
             worker.entry,
@@ -243,9 +241,17 @@
             wait_s,
             timeout_s,
         )
+        if answer.outcome is not OrderOutcome.UNREACHABLE:
+            worker.lease_end = max(worker.lease_end, worker.asked_lease_end)
+        worker.asked_lease_end = float("-inf")
         if answer.outcome is OrderOutcome.FENCED:
             self._guard.on_fenced()
             return False
+        left = worker.entry.draining and not worker.listed
+        if left and answer.outcome is OrderOutcome.UNREACHABLE:
+            ledger.on_worker_dead(worker, "it drained and left")
+            self._guard.wake()
+            return False
         if answer.outcome is OrderOutcome.OTHER_LIFE:
             ledger.on_worker_dead(worker, "another life answered")
             self._guard.wake()
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -15,11 +15,12 @@
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Hold what is durable of one occurrence of a step.
 
-    ``failures_by_index`` counts failed attempts; a gang counts all of its under -1.
+    ``failed_runs_by_index`` names the failed runs, so that an end which two holders
+    read counts once; those of a gang stand under -1.
     """
 
     done: list[int] = []
-    failures_by_index: dict[int, int] = {}
+    failed_runs_by_index: dict[int, list[int]] = {}
     checkpoints_by_index: dict[int, str] = {}
 
 
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -101,11 +101,13 @@
     """Hold one life of a worker.
 
     ``resolved`` tells that its inventory was seen in this tenure. ``lease_end`` is the
-    time on the holder's clock by which every lease given so far has surely lapsed.
+    time on the holder's clock by which every lease given so far has surely lapsed, and
+    ``asked_lease_end`` the same for the look that is under way.
     """
 
     entry: WorkerEntry
     lease_end: float
+    asked_lease_end: float = float("-inf")
     used: Resources = NOTHING
     runs_by_id: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     count_by_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
@@ -135,6 +137,11 @@
             and now >= self.health.quarantined_until
         )
 
+    def lapsed(self, now: float) -> bool:
+        """Tell whether every lease has lapsed without contact since."""
+        end = max(self.lease_end, self.asked_lease_end)
+        return now >= end and self.contact_at < end
+
     def clock_now_ms(self, now: float) -> int:
         """Return a time that the worker's clock has surely reached."""
         elapsed_s = max(0.0, now - self.clock_at) * (1 - CLOCK_DRIFT)
