Store assignments before starts, shorten terms, keep leases while the store is away

Cause: takeovers took 1.5 to 2 s; one dark worker blocked all inherited work for a whole lease; work was lost when the store was away longer than a lease. Ruled out: shorter leases alone, since every outage of the store then ends all work. Change: a claim is good for 0.9 s; a restarted process of the holder's VM claims at once; a task's worker is stored before its start is ordered; a holder without tenure keeps leases for 6 s; punctual work goes before late work; jobs beyond a customer's rate go last.

--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -16,7 +16,7 @@
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
 from briarrun_cell.election import Election
 from briarrun_cell.front import Front
-from briarrun_cell.holder import Holder, HolderParts
+from briarrun_cell.holder import CARETAKING_S, Holder, HolderParts
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.ledger import LeaseTerms
 from briarrun_cell.logs import PartLog
@@ -54,16 +54,19 @@
 HOLDER_JOBS_PACE_S = 0.012
 """Pause between reads of the job stream on the holder."""
 
-REGISTRY_PACE_S = 0.2
-"""Pause between reads of the worker registry."""
+REGISTRY_PACE_S = 1.0
+"""Pause between reads of the worker registry on a VM that does not hold the cell."""
 
-READY_CONFIG_AGE_S = 1.9
+HOLDER_REGISTRY_PACE_S = 0.25
+"""Pause between reads of the worker registry on the holder."""
+
+READY_CONFIG_AGE_S = 2.4
 """A VM whose configuration is older takes no new connections."""
 
-READY_VIEW_AGE_S = 1.9
+READY_VIEW_AGE_S = 2.4
 """A VM whose view of the jobs is older takes no new connections."""
 
-LEASE_S = 4.5
+LEASE_S = 3.2
 """Length of a run's lease, if workers grant it."""
 
 START_ORDER_S = 2.0
@@ -140,7 +143,9 @@
         self._config = ConfigView(adapters.config_decoder)
         lease_s = min(LEASE_S, settings.max_lease_s - 0.2)
         terms = LeaseTerms(
-            lease_s=lease_s, start_s=START_ORDER_S, longest_s=lease_s * 1.05 + 1.0
+            lease_s=lease_s,
+            start_s=START_ORDER_S,
+            longest_s=lease_s * 1.05 + CARETAKING_S,
         )
         self._registry = Registry(adapters.entry_decoder, clock, terms.longest_s)
         self._vms = EntryVmTable()
@@ -156,6 +161,14 @@
             wait_s=JOBS_WAIT_S,
             pace_s=FRONT_JOBS_PACE_S,
         )
+        self._registry_tail = TopicTail(
+            store,
+            Topic.WORKERS,
+            self._registry,
+            clock,
+            wait_s=SLOW_WAIT_S,
+            pace_s=REGISTRY_PACE_S,
+        )
         self._writer = RecordWriter(store, clock)
         self._front = Front(
             self._config,
@@ -181,13 +194,16 @@
                 terms=terms,
                 keep_final_s=settings.keep_final_s * 1.5,
                 metrics=self.metrics,
+                registry_tail=self._registry_tail,
                 jobs_pace_s=HOLDER_JOBS_PACE_S,
+                registry_pace_s=HOLDER_REGISTRY_PACE_S,
             )
         )
         self._election = Election(
             store,
             clock,
             settings.vm,
+            settings.peer_address,
             self._incarnation,
             self._holder,
             rng=random.Random(self._incarnation),
@@ -244,20 +260,12 @@
         holder_tail = TopicTail(
             store, Topic.HOLDER, self._election, clock, wait_s=SLOW_WAIT_S
         )
-        registry_tail = TopicTail(
-            store,
-            Topic.WORKERS,
-            self._registry,
-            clock,
-            wait_s=SLOW_WAIT_S,
-            pace_s=REGISTRY_PACE_S,
-        )
         vms_tail = TopicTail(store, Topic.VMS, self._vms, clock, wait_s=SLOW_WAIT_S)
         for name, tail in (
             ("config", self._config_tail),
             ("jobs", self._jobs_tail),
             ("holder", holder_tail),
-            ("registry", registry_tail),
+            ("registry", self._registry_tail),
             ("vms", vms_tail),
         ):
             self._keep(f"tail of {name}", tail.run)
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -15,22 +15,22 @@
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
 from briarrun_cell.tail import TopicReader
 
-TERM_S = 1.5
+TERM_S = 0.9
 """A holder's claim is good for this long after it was sent."""
 
-RENEWAL_S = 0.4
+RENEWAL_S = 0.25
 """Pause between renewals of a claim."""
 
-MARGIN_S = 0.15
+MARGIN_S = 0.12
 """A holder stops this long before its term ends, for orders on their way."""
 
-APPEND_TIMEOUT_S = 0.6
+APPEND_TIMEOUT_S = 0.5
 """Time after which a claim counts as unanswered."""
 
-CLAIM_SPREAD_S = 0.25
+CLAIM_SPREAD_S = 0.12
 """Candidates wait up to this long beyond the term, so that rarely two claim at once."""
 
-POLL_S = 0.05
+POLL_S = 0.03
 """Pause between looks at whether the term of the holder has ended, and between tries
 after a renewal that was not confirmed."""
 
@@ -43,6 +43,7 @@
     """Claim the cell; ``epoch`` of 0 stands for the record's own offset plus one."""
 
     vm: str
+    address: str
     incarnation: str
     epoch: int = 0
     released: bool = False
@@ -64,8 +65,8 @@
         """Take over."""
 
     @abstractmethod
-    async def end(self) -> None:
-        """Stop acting at once."""
+    async def end(self, superseded: bool) -> None:
+        """Stop deciding at once; ``superseded`` if another holder is known."""
 
 
 class Election(TopicReader):
@@ -80,6 +81,7 @@
         store: Store,
         clock: Clock,
         vm: str,
+        address: str,
         incarnation: str,
         role: HolderRole,
         *,
@@ -89,6 +91,7 @@
         self._store = store
         self._clock = clock
         self._vm = vm
+        self._address = address
         self._incarnation = incarnation
         self._role = role
         self._rng = rng or random.Random()
@@ -139,7 +142,9 @@
         waited_s = self._clock.now() - self._seen_at
         if self._last is None or self._last.released:
             return waited_s >= self._wait_s
-        if self._last.incarnation == self._incarnation:
+        if (self._last.vm, self._last.address) == (self._vm, self._address):
+            # An earlier process of this VM is dead, and an own claim whose answer
+            # was lost may be claimed again.
             return True
         return waited_s >= TERM_S + self._wait_s
 
@@ -160,12 +165,16 @@
         tenure = self.tenure
         if tenure is None:
             return
-        await self._lose("released")
+        await self._lose("released", superseded=True)
         await self._append(self._own(tenure.epoch, released=True))
 
     def _own(self, epoch: int, released: bool = False) -> Claim:
         return Claim(
-            vm=self._vm, incarnation=self._incarnation, epoch=epoch, released=released
+            vm=self._vm,
+            address=self._address,
+            incarnation=self._incarnation,
+            epoch=epoch,
+            released=released,
         )
 
     async def _append(self, claim: Claim) -> tuple[AppendOutcome, int, float]:
@@ -200,7 +209,7 @@
         if self.tenure is not tenure:
             return
         if self._last is not None and self._last.incarnation != self._incarnation:
-            await self._lose(f"{self._last.vm} took over")
+            await self._lose(f"{self._last.vm} took over", superseded=True)
             return
         outcome, _, sent_at = await self._append(self._own(tenure.epoch))
         if self.tenure is not tenure:
@@ -212,8 +221,8 @@
         if self._clock.now() >= tenure.valid_until:
             await self._lose(f"the term ended; last renewal: {outcome}")
 
-    async def _lose(self, reason: str) -> None:
+    async def _lose(self, reason: str, superseded: bool = False) -> None:
         tenure, self.tenure = self.tenure, None
         if tenure is not None:
             _LOG.warning("gave up the cell", epoch=tenure.epoch, reason=reason)
-            await self._role.end()
+            await self._role.end(superseded)
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -11,7 +11,7 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
 from briarrun_cell.election import HolderRole, Tenure
-from briarrun_cell.job_table import JobTable
+from briarrun_cell.job_table import JobEntry, JobTable
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import LeaseTerms, Ledger
 from briarrun_cell.logs import PartLog
@@ -31,6 +31,9 @@
 TICK_S = 0.05
 """Longest time between rounds of decisions."""
 
+CARETAKING_S = 6.0
+"""Time for which a holder that cannot renew its claim keeps the leases of runs."""
+
 FORGET_EVERY_S = 10.0
 """Pause between searches for jobs that may be forgotten."""
 
@@ -53,7 +56,9 @@
     terms: LeaseTerms
     keep_final_s: float
     metrics: Metrics
+    registry_tail: TopicTail
     jobs_pace_s: float
+    registry_pace_s: float
 
 
 class Holder(HolderRole):
@@ -62,22 +67,30 @@
     def __init__(self, parts: HolderParts) -> None:
         self._parts = parts
         self.tenancy: Tenancy | None = None
-        self._idle_pace_s = parts.jobs_tail.pace_s
+        self._idle_jobs_pace_s = parts.jobs_tail.pace_s
+        self._idle_registry_pace_s = parts.registry_tail.pace_s
 
     async def begin(self, tenure: Tenure) -> None:
         """Take over the cell."""
+        if self.tenancy is not None:
+            self.tenancy.close()
         self._parts.jobs_tail.pace_s = self._parts.jobs_pace_s
+        self._parts.registry_tail.pace_s = self._parts.registry_pace_s
         self._parts.metrics.holding.set(1)
         self.tenancy = Tenancy(self._parts, tenure)
         self.tenancy.start()
 
-    async def end(self) -> None:
-        """Stop acting at once."""
-        self._parts.jobs_tail.pace_s = self._idle_pace_s
+    async def end(self, superseded: bool) -> None:
+        """Stop deciding at once; keep leases for a while if nobody else can."""
+        self._parts.jobs_tail.pace_s = self._idle_jobs_pace_s
+        self._parts.registry_tail.pace_s = self._idle_registry_pace_s
         self._parts.metrics.holding.set(0)
-        tenancy, self.tenancy = self.tenancy, None
-        if tenancy is not None:
-            tenancy.close()
+        if self.tenancy is None:
+            return
+        if superseded:
+            self.tenancy.close()
+        else:
+            self.tenancy.retire()
 
 
 class Tenancy(TenureGuard):
@@ -114,6 +127,14 @@
         """Tell whether the tenure is valid now."""
         return not self._closed and self._parts.clock.now() < self._tenure.valid_until
 
+    def keeps_leases(self) -> bool:
+        """Tell whether leases may be kept: during the tenure and a while beyond."""
+        if self._closed:
+            return False
+        return self.holds() or self._parts.clock.now() < (
+            self._tenure.valid_until + CARETAKING_S
+        )
+
     def on_fenced(self) -> None:
         """End the tenure, since a later holder has acted."""
         if not self._closed:
@@ -136,13 +157,21 @@
         """Begin to act."""
         self._spawn(self._run())
 
-    def close(self) -> None:
-        """Stop at once."""
-        self._closed = True
+    def retire(self) -> None:
+        """Decide nothing more; runs keep their leases until a later holder acts."""
+        self._detach()
+        _LOG.info("keeps leases without deciding", epoch=self._tenure.epoch)
+
+    def _detach(self) -> None:
         if self._on_job in self._parts.table.listeners:
             self._parts.table.listeners.remove(self._on_job)
         self._parts.registry.on_change = None
         self._desk.close()
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._closed = True
+        self._detach()
         for task in self._tasks:
             task.cancel()
 
@@ -162,8 +191,7 @@
         await parts.jobs_tail.reach(end)
         await parts.config.known()
         ledger.set_config(parts.config.config)
-        ledger.inherit(list(parts.table.by_id))
-        for job_id, entry in parts.table.by_id.items():
+        for job_id, entry in _by_age(parts.table):
             ledger.set_job(job_id, entry)
         parts.table.listeners.append(self._on_job)
         parts.registry.on_change = self._on_registry
@@ -227,6 +255,7 @@
         if parts.config.config.version != ledger.config.version:
             ledger.set_config(parts.config.config)
         ledger.expire()
+        ledger.stop_broken_gangs()
         for run in ledger.find_stalled():
             run.worker.health.quarantine(parts.clock.now())
             ledger.stop(run, "its progress stands still")
@@ -255,6 +284,12 @@
             self._parts.metrics.observe_start(
                 job.spec.customer, job.queue.name, job.first_start_at - job.accepted_at
             )
+        self.ledger.assign(placement.step, placement.runs)
+        self._spawn(self._start(placement))
+
+    async def _start(self, placement: Placement) -> None:
+        """Send the starts once a later holder would know where they may run."""
+        await self._journal.flushed()
         for run in placement.runs:
             self._spawn(self._sender.start(run, placement.step))
 
@@ -286,3 +321,11 @@
         for run in runs:
             if run.state is RunState.PLANNED:
                 self.ledger.withdraw(run)
+
+
+def _by_age(table: JobTable) -> list[tuple[str, JobEntry]]:
+    """Return the jobs in order of acceptance, in which rates are measured."""
+    known = [(job_id, each) for job_id, each in table.by_id.items() if each.spec]
+    return sorted(
+        known, key=lambda each: each[1].spec.accepted_ms if each[1].spec else 0
+    )
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -74,6 +74,7 @@
     late_at: float
     steps_by_id: dict[StepId, Step] = field(default_factory=dict)
     cancelled: bool = False
+    excess: bool = False
     first_start_at: float | None = None
 
     @property
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -58,6 +58,7 @@
         self._sequence = 0
         self._wake = asyncio.Event()
         self._stored = asyncio.Event()
+        self._flush_waiters: list[asyncio.Future[None]] = []
 
     async def fence(self) -> int:
         """Shut out earlier holders; return the end of the job stream."""
@@ -72,6 +73,13 @@
         """Tell that a worker listed ends; those that change nothing need no append."""
         self._wake.set()
 
+    async def flushed(self) -> None:
+        """Wait until everything that is dirty now is stored."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._flush_waiters.append(waiter)
+        self._wake.set()
+        await waiter
+
     async def stored(self, timeout_s: float) -> None:
         """Wait until the next append succeeded, but not for longer."""
         try:
@@ -87,16 +95,20 @@
             await asyncio.sleep(GATHER_S)
             self._wake.clear()
             await self._flush()
-            self.notify()
+            if self._ledger.dirty or self._flush_waiters:
+                self._wake.set()
 
     async def _flush(self) -> None:
         ledger = self._ledger
+        waiters, self._flush_waiters = self._flush_waiters, []
         acknowledging = [
             (worker, worker.applied) for worker in ledger.workers_by_id.values()
         ]
         job_ids = sorted(ledger.dirty)[:MAX_BATCH]
         if len(job_ids) < len(ledger.dirty):
             acknowledging = []
+            self._flush_waiters = waiters + self._flush_waiters
+            waiters = []
         ledger.dirty.difference_update(job_ids)
         batch = [
             records.progressed(job_id, ledger.jobs_by_id[job_id].progress)
@@ -110,6 +122,9 @@
             worker.acknowledged = max(worker.acknowledged, number)
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
         ledger.release_final()
 
     async def _append_until_stored(self, batch: list[Record]) -> int:
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from briarrun_cell.clock import Clock
@@ -20,6 +20,7 @@
     TaskId,
     WorkerEntry,
 )
+from briarrun_cell.ranking import RateMeter
 from briarrun_cell.workers import Run, RunState, Worker
 from briarrun_core.resources import NOTHING, Resources
 
@@ -72,9 +73,9 @@
         self.dirty: set[str] = set()
         self.began_at = clock.now()
         self._next_run = epoch << RUN_BITS
-        self._inherited: set[str] = set()
+        self._rates = RateMeter()
+        self._seen_workers: set[str] = set()
         self._released: set[str] = set()
-        self.settled = False
 
     # Workers
 
@@ -130,6 +131,7 @@
         for run in list(worker.runs_by_id.values()):
             self._drop_run(run)
             self._requeue(run.task, run.checkpoint)
+        self.on_resolved(worker)
         self.forget_worker(worker)
 
     def expire(self) -> None:
@@ -147,35 +149,51 @@
                     )
                     self._drop_run(run)
                     self._requeue(run.task, run.checkpoint)
-                worker.resolved = True
+                self.on_resolved(worker)
             if not worker.listed and not worker.runs_by_id and worker.resolved:
                 self.forget_worker(worker)
-        if not self.settled and all(
-            worker.resolved for worker in self.workers_by_id.values()
-        ):
-            self._settle()
 
-    def _settle(self) -> None:
-        """Begin to start inherited work: every older run is known or has lapsed."""
-        self.settled = True
-        self._inherited.clear()
+    def on_resolved(self, worker: Worker) -> None:
+        """Take note that a worker's inventory is known, or that it runs nothing."""
+        worker.resolved = True
+        self._seen_workers.add(worker.worker_id)
+
+    def assignment_is_open(self, step: Step, index: int) -> bool:
+        """Tell whether an earlier holder may have started a task unseen by this one."""
+        worker_id = step.progress.assigned_by_index.get(index)
+        if worker_id is None or worker_id in self._seen_workers:
+            return False
+        return self.clock.now() < self.began_at + self.terms.longest_s
+
+    def startable(self, step: Step) -> list[int]:
+        """Return the tasks of a step that may start; all or none of a gang."""
+        free = [i for i in sorted(step.pending) if not self.assignment_is_open(step, i)]
+        if step.spec.gang and (step.active or len(free) < step.spec.count):
+            return []
+        return free
+
+    def assign(self, step: Step, runs: Iterable[Run]) -> None:
+        """Note where runs are about to start, to be stored before they are ordered."""
+        for run in runs:
+            step.progress.assigned_by_index[run.task.ordinal] = run.worker.worker_id
+        self.dirty.add(step.job.job_id)
+
+    def stop_broken_gangs(self) -> None:
+        """Stop gangs of which an earlier holder started only some members."""
         for job in self.jobs_by_id.values():
             for step in job.steps_by_id.values():
                 members = len(step.active)
-                if step.spec.gang and 0 < members < step.spec.count:
-                    for run in step.runs():
-                        self.stop(run, "the gang is incomplete after a takeover")
-
-    def may_start(self, job: Job) -> bool:
-        """Tell whether no run of the job can exist that is not in the books."""
-        return self.settled or job.job_id not in self._inherited
+                if not step.spec.gang or not 0 < members < step.spec.count:
+                    continue
+                if any(run.state is not RunState.RUNNING for run in step.runs()):
+                    continue
+                if any(self.assignment_is_open(step, i) for i in step.pending):
+                    continue
+                for run in step.runs():
+                    self.stop(run, "the gang is incomplete")
 
     # Jobs
 
-    def inherit(self, job_ids: list[str]) -> None:
-        """Name the jobs that an earlier holder may have started."""
-        self._inherited.update(job_ids)
-
     def set_job(self, job_id: str, entry: JobEntry | None) -> None:
         """Take over a job's acceptance or cancellation."""
         if entry is None or entry.spec is None:
@@ -196,10 +214,18 @@
                 self.clock.now(),
                 self.clock.wall_ms(),
             )
+            job.excess = self._exceeds(job)
             self.jobs_by_id[job_id] = job
         if job is not None and entry.cancelled and not job.cancelled:
             self._cancel(job)
 
+    def _exceeds(self, job: Job) -> bool:
+        customer = self.config.customers_by_name.get(job.spec.customer)
+        if customer is None:
+            return False
+        at_s = job.spec.accepted_ms / 1000
+        return self._rates.exceeds(customer.name, customer.weight, at_s)
+
     def set_config(self, config: CellConfig) -> None:
         """Take over a newer configuration; removed queues keep their accepted jobs."""
         self.config = config
@@ -267,6 +293,7 @@
         """Free what a run occupies."""
         if (run.task, run.number) not in run.worker.runs_by_id:
             return
+        run.state = RunState.OVER
         run.worker.release(run)
         used = self.usage_by_customer.get(run.customer, NOTHING)
         self.usage_by_customer[run.customer] = used - run.charge
@@ -304,7 +331,7 @@
         """Mark a run to be stopped; it stays charged until its end is known."""
         if run.state is RunState.PLANNED:
             self.withdraw(run)
-        elif run.state is not RunState.STOPPING:
+        elif run.state not in (RunState.STOPPING, RunState.OVER):
             run.state = RunState.STOPPING
             run.stop_reason = reason
             run.since = self.clock.now()
@@ -356,7 +383,7 @@
         for key, run in list(worker.runs_by_id.items()):
             if key not in listed:
                 self._check_missing(run, inventory, asked_at)
-        worker.resolved = True
+        self.on_resolved(worker)
         return news
 
     def _refresh(self, run: Run, report: RunReport, now: float) -> None:
@@ -366,6 +393,12 @@
         if report.checkpoint:
             run.checkpoint = report.checkpoint
         if report.percent != run.percent:
+            step = self.step_of(run.task)
+            gained = report.percent - run.percent
+            if step is not None and not step.spec.service and gained > 0:
+                run.worker.health.on_progress(
+                    now - run.percent_at, step.spec.estimated_ms / 1000 * gained / 100
+                )
             run.percent, run.percent_at = report.percent, now
 
     def _adopt(self, worker: Worker, report: RunReport) -> None:
@@ -474,6 +507,8 @@
         done = set(step.progress.done)
         done |= set(range(step.spec.count)) if step.spec.gang else {end.task.ordinal}
         step.progress.done = sorted(done)
+        for index in done:
+            step.progress.assigned_by_index.pop(index, None)
         step.pending -= done
         step.progress.checkpoints_by_index = {
             index: saved
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -45,6 +45,10 @@
     def holds(self) -> bool:
         """Tell whether the tenure is valid now."""
 
+    @abstractmethod
+    def keeps_leases(self) -> bool:
+        """Tell whether leases of runs may be kept now."""
+
     @abstractmethod
     def on_fenced(self) -> None:
         """Take note that a later holder has acted."""
@@ -216,10 +220,7 @@
     async def run(self) -> None:
         """Look at the worker until its life ends."""
         while not self._worker.dead:
-            if not self._guard.holds():
-                await asyncio.sleep(RETRY_S)
-                continue
-            if not await self._look():
+            if not self._guard.keeps_leases() or not await self._look():
                 await asyncio.sleep(RETRY_S)
 
     async def _look(self) -> bool:
@@ -269,6 +270,8 @@
         if news or first:
             self._guard.wake()
         if worker.applied > worker.acknowledged:
+            if not self._guard.holds():
+                return False
             self._journal.notify_acknowledgement()
             await self._journal.stored(STORED_WAIT_S)
         return True
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -100,8 +100,9 @@
         waiting = [
             (rank(step, shares, now), step)
             for job in ledger.jobs_by_id.values()
-            if not job.final and ledger.may_start(job)
+            if not job.final
             for step in job.ready_steps(wall_ms)
+            if ledger.startable(step)
         ]
         waiting.sort(key=lambda each: (each[0], each[1].step_id))
         return waiting
@@ -189,7 +190,7 @@
         self, step: Step, allowed: list[Worker], round_: _Round
     ) -> list[tuple[int, Worker]]:
         """Return a worker for each task that can start; all or none of a gang."""
-        indexes = sorted(step.pending)[: self._allowance(step)]
+        indexes = self._ledger.startable(step)[: self._allowance(step)]
         if step.spec.gang and len(indexes) < step.spec.count:
             return []
         if step.spec.same_rack:
--- a/packages/cell/src/briarrun_cell/ranking.py
+++ b/packages/cell/src/briarrun_cell/ranking.py
@@ -17,6 +17,9 @@
 SHARE_TOLERANCE = 1.5
 """A customer may use this multiple of its share before others go first."""
 
+RATE_WINDOW_S = 1.0
+"""Jobs of this many seconds may come at once within a customer's rate."""
+
 
 class Prospect(IntEnum):
     """Tell whether a job can still end in the time that its caller expects."""
@@ -70,15 +73,44 @@
     return Prospect.LATE if end <= job.late_at else Prospect.HOPELESS
 
 
-Rank = tuple[int, int, bool, float]
+class RateMeter:
+    """Tell which jobs a customer submitted beyond the rate that its weight grants.
+
+    A customer's weight is also the number of jobs per second that it is owed.
+    """
+
+    def __init__(self) -> None:
+        self._level_by_customer: dict[str, tuple[float, float]] = {}
+
+    def exceeds(self, customer: str, rate_per_s: float, at_s: float) -> bool:
+        """Take note of a job; return whether it is beyond the rate."""
+        burst = max(1.0, rate_per_s * RATE_WINDOW_S)
+        level, last_s = self._level_by_customer.get(customer, (0.0, at_s))
+        level = max(0.0, level - max(0.0, at_s - last_s) * rate_per_s)
+        exceeded = level + 1 > burst
+        self._level_by_customer[customer] = (
+            level if exceeded else level + 1,
+            max(at_s, last_s),
+        )
+        return exceeded
+
+
+Rank = tuple[bool, bool, int, int, bool, float]
 
 
 def rank(step: Step, shares: Shares, now: float) -> Rank:
-    """Return the place of a step in the order of starting; lower goes first."""
+    """Return the place of a step in the order of starting; lower goes first.
+
+    Within one priority a job that can still be on time goes before one that is late
+    already, so that a backlog does not make every later job late as well.
+    """
     job = step.job
+    expected = prospect(job, step, now)
     return (
-        prospect(job, step, now) is Prospect.HOPELESS,
+        job.excess,
+        expected is Prospect.HOPELESS,
         job.queue.priority,
+        expected,
         job.spec.customer in shares.over,
         job.due_at - remaining_s(job, step),
     )
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -15,11 +15,13 @@
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Hold what is durable of one occurrence of a step.
 
-    ``failed_runs_by_index`` names the failed runs, so that an end which two holders
+    ``assigned_by_index`` names the worker of each task that was or is to be started; it
+    is stored before the start is ordered. ``failed_runs_by_index`` names the failed runs, so that an end which two holders
     read counts once; those of a gang stand under -1.
     """
 
     done: list[int] = []
+    assigned_by_index: dict[int, str] = {}
     failed_runs_by_index: dict[int, list[int]] = {}
     checkpoints_by_index: dict[int, str] = {}
 
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -30,6 +30,13 @@
 """Weight of the newest run time in a worker's slowness."""
 
 
+PROGRESS_WEIGHT = 0.12
+"""Weight of the newest progress report in a worker's slowness."""
+
+MIN_PROGRESS_S = 0.25
+"""Shortest time over which progress is measured."""
+
+
 class RunState(StrEnum):
     """Name the states of a run as the holder knows it."""
 
@@ -37,6 +44,7 @@
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
+    OVER = "over"
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +91,12 @@
             ratio = min(max(run_s / expected_s, 0.25), 10.0)
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
 
+    def on_progress(self, took_s: float, expected_s: float) -> None:
+        """Take note of how long a run took for a part of its work."""
+        if took_s >= MIN_PROGRESS_S and expected_s > 0:
+            ratio = min(max(took_s / expected_s, 0.25), 10.0)
+            self.slowness += PROGRESS_WEIGHT * (ratio - self.slowness)
+
     def on_failed(self, now: float) -> None:
         """Take note of a run that failed."""
         self._score += FAILURE_WEIGHT * (1 - self._score)
