--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -57,7 +57,7 @@
         self.by_id = {}
         for record in sorted(records, key=lambda each: each.offset):
             self._fold(record)
-        for job_id in old | set(self.by_id):
+        for job_id in sorted(old | set(self.by_id)):
             self._tell(job_id)
 
     def apply(self, records: Iterable[Record]) -> None:
--- /dev/null
+++ b/tests/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a cell with one holder over a linearizable store."""
--- /dev/null
+++ b/tests/cell/test_faults.py
@@ -0,0 +1,324 @@
+"""Guard the promises under faults of VMs, store and workers, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briarrun_cell.front import Verdict
+from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.ports import Topic
+from tests.cell.running import with_cell
+from tools.emulator.cell.cell import FakeCell, step
+
+pytestmark = pytest.mark.looptime
+
+TAKEOVER_BOUND_S = 1.5
+"""Stated target: time from the loss of one holder to the next first start."""
+
+RESTART_BOUND_S = 3.0
+"""Stated target: time from the restart of all VMs to the next first start."""
+
+
+async def _first_start(cell: FakeCell, since: float) -> float:
+    spec = cell.spec(step(1, 100))
+    while (await cell.submit(spec)).verdict is not Verdict.ACCEPTED:
+        await asyncio.sleep(0.02)
+    while spec.job_id not in cell.fleet.first_start_by_job:
+        await asyncio.sleep(0.01)
+    return cell.fleet.first_start_by_job[spec.job_id] - since
+
+
+@pytest.mark.parametrize("seed", range(12))
+@with_cell()
+async def test_takeover_of_a_killed_holder(cell: FakeCell, seed: int) -> None:
+    """Guards against a takeover that takes longer than the target."""
+    await asyncio.sleep(1 + cell.rng.random())
+    holder = await cell.wait_for_holder()
+    cell.kill_vm(holder.name)
+    took_s = await _first_start(cell, asyncio.get_running_loop().time())
+    print(f"takeover of a killed holder: {took_s:.3f} s")
+    assert took_s <= TAKEOVER_BOUND_S
+
+
+@pytest.mark.parametrize("seed", range(6))
+@with_cell()
+async def test_restart_after_all_vms_lost_power(cell: FakeCell, seed: int) -> None:
+    """Guards against jobs forgotten by, and a slow recovery from, a loss of all VMs."""
+    specs = [cell.spec(step(2, 4_000)) for _ in range(4)]
+    for spec in specs:
+        await cell.submit(spec)
+    await asyncio.sleep(cell.rng.random())
+    for name in cell.vms_by_name:
+        cell.kill_vm(name)
+    await asyncio.sleep(0.8)
+    for name in cell.vms_by_name:
+        cell.start_vm(name)
+    took_s = await _first_start(cell, asyncio.get_running_loop().time())
+    print(f"restart of all VMs: {took_s:.3f} s")
+    assert took_s <= RESTART_BOUND_S
+    assert await cell.finished(cell.accepted, 60.0) == set()
+
+
+@pytest.mark.parametrize("seed", range(6))
+@with_cell()
+async def test_frozen_holder_wakes_beside_its_successor(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against two holders acting after one of them was frozen."""
+    specs = [cell.spec(step(2, 700)) for _ in range(20)]
+    for spec in specs[:10]:
+        await cell.submit(spec)
+    frozen = await cell.wait_for_holder()
+    frozen.store.running.clear()
+    await asyncio.sleep(4.0)
+    others = [name for name in cell.vms_by_name if name != frozen.name]
+    for spec in specs[10:]:
+        await cell.submit(spec, cell.rng.choice(others))
+    frozen.store.running.set()
+    assert await cell.finished(cell.accepted, 40.0) == set()
+
+
+@pytest.mark.parametrize("seed", range(4))
+@with_cell(max_attempts=2)
+async def test_failed_end_read_by_two_holders_counts_once(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against a job given up too early because an end was counted twice."""
+    spec = cell.spec(step(1, 300))
+    cell.fleet.poison.add(spec.job_id)
+    await cell.submit(spec)
+    await asyncio.sleep(0.32)
+    holder = await cell.wait_for_holder()
+    for _ in range(200):
+        progress = (
+            holder.core.table.by_id[spec.job_id].progress if holder.core else None
+        )
+        if progress and progress.steps_by_key["0.0"].failed_runs_by_index:
+            break
+        await asyncio.sleep(0.002)
+    cell.fleet.poison.clear()
+    cell.kill_vm(holder.name)
+    assert await cell.finished({spec.job_id}, 20.0) == set()
+    assert cell.state(spec.job_id) is JobState.COMPLETED
+
+
+@with_cell()
+async def test_task_of_a_worker_that_vanished_starts_again(cell: FakeCell) -> None:
+    """Guards against leases that the books extend though no look can be sent."""
+    spec = cell.spec(step(4, 3_000))
+    await cell.submit(spec)
+    await asyncio.sleep(0.5)
+    lost = cell.fleet.workers_by_address["w0:1"]
+    assert lost.runs_by_id
+    cell.fleet.crash(lost)
+    assert await cell.finished({spec.job_id}, 15.0) == set()
+
+
+@with_cell(workers=2)
+async def test_withdrawn_run_is_not_ordered(cell: FakeCell) -> None:
+    """Guards against a start that is sent after its run left the books.
+
+    Starts wait until their assignment is stored; a job that is cancelled meanwhile left
+    the run uncharged and the worker overcommitted.
+    """
+    cell.store.faults.slow_factor = 40.0
+    long = [cell.spec(step(8, 5_000)) for _ in range(2)]
+    for round_ in range(6):
+        doomed = cell.spec(step(8, 5_000))
+        await cell.submit(doomed)
+        await asyncio.sleep(0.02 * round_)
+        await cell.cancel(doomed)
+    for spec in long:
+        await cell.submit(spec)
+    assert await cell.finished({spec.job_id for spec in long}, 40.0) == set()
+
+
+@with_cell()
+async def test_dark_worker_blocks_only_its_own_tasks(cell: FakeCell) -> None:
+    """Guards against inherited work that waits for a worker which never had it."""
+    busy = cell.spec(step(32, 800))
+    queued = cell.spec(step(3, 200))
+    await cell.submit(busy)
+    await asyncio.sleep(0.2)
+    await cell.submit(queued)
+    await asyncio.sleep(0.1)
+    cell.fleet.workers_by_address["w3:1"].faults.cut = True
+    cell.kill_vm((await cell.wait_for_holder()).name)
+    assert await cell.finished({queued.job_id}, 4.0) == set()
+    cell.fleet.workers_by_address["w3:1"].faults.cut = False
+    assert await cell.finished({busy.job_id}, 30.0) == set()
+
+
+@with_cell()
+async def test_work_survives_an_outage_of_the_store(cell: FakeCell) -> None:
+    """Guards against leases that lapse because the holder cannot renew its claim."""
+    spec = cell.spec(step(4, 6_000))
+    await cell.submit(spec)
+    await asyncio.sleep(0.3)
+    cell.store.faults.down = True
+    await asyncio.sleep(5.0)
+    cell.store.faults.down = False
+    assert await cell.finished({spec.job_id}, 10.0) == set()
+    assert cell.fleet.starts == 4
+
+
+@with_cell()
+async def test_known_outage_is_refused_at_once(cell: FakeCell) -> None:
+    """Guards against callers held until their deadline by a store that is away."""
+    cell.store.faults.silent = True
+    await asyncio.sleep(3.0)
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    reply = await cell.submit(cell.spec())
+    assert reply.verdict is Verdict.NOT_RUN
+    assert reply.retry_after_s is not None
+    assert loop.time() - began_at < 0.05
+
+
+FAULTS = (
+    "kill",
+    "kill_all",
+    "freeze",
+    "cut",
+    "down",
+    "silent",
+    "lost",
+    "late",
+    "slow",
+    "truncate",
+    "worker_crash",
+    "worker_cut",
+    "worker_reborn",
+    "late_orders",
+)
+
+
+async def _inject(cell: FakeCell, fault: str) -> None:
+    rng, store = cell.rng, cell.store
+    vm = cell.holder() or rng.choice(list(cell.vms_by_name.values()))
+    worker = rng.choice(list(cell.fleet.workers_by_address.values()))
+    spell_s = rng.uniform(0.5, 5.0)
+    if fault in ("kill", "kill_all"):
+        names = [vm.name] if fault == "kill" else list(cell.vms_by_name)
+        for name in names:
+            cell.kill_vm(name)
+        await asyncio.sleep(rng.uniform(0.3, 2.0))
+        for name in names:
+            if cell.vms_by_name[name].core is None:
+                cell.start_vm(name)
+    elif fault == "freeze":
+        vm.store.running.clear()
+        await asyncio.sleep(spell_s)
+        vm.store.running.set()
+    elif fault == "cut":
+        vm.store.cut = True
+        await asyncio.sleep(spell_s)
+        vm.store.cut = False
+    elif fault in ("down", "silent"):
+        setattr(store.faults, fault, True)
+        await asyncio.sleep(spell_s)
+        setattr(store.faults, fault, False)
+    elif fault == "lost":
+        store.faults.lose_answers = 0.4
+        await asyncio.sleep(spell_s)
+        store.faults.lose_answers = 0.0
+    elif fault == "late":
+        store.faults.late_appends = 0.3
+        await asyncio.sleep(spell_s)
+        store.faults.late_appends = 0.0
+    elif fault == "slow":
+        store.faults.slow_factor = 50.0
+        await asyncio.sleep(spell_s)
+        store.faults.slow_factor = 1.0
+    elif fault == "truncate":
+        for topic in Topic:
+            store.truncate(topic)
+    elif fault == "worker_crash":
+        cell.fleet.crash(worker)
+        store.put(Topic.WORKERS, worker.entry.worker_id, None)
+        cell.number += 1
+        cell.add_worker(f"x{cell.number}")
+    elif fault == "worker_cut":
+        worker.faults.cut = True
+        await asyncio.sleep(spell_s)
+        worker.faults.cut = False
+    elif fault == "worker_reborn":
+        if not worker.dead:
+            cell.register(cell.fleet.rebirth(worker).entry)
+    elif fault == "late_orders":
+        worker.faults.late_orders = 0.5
+        await asyncio.sleep(spell_s)
+        worker.faults.late_orders = 0.0
+
+
+async def _load(cell: FakeCell, seconds: float) -> None:
+    rng = cell.rng
+    loop = asyncio.get_running_loop()
+    end_at = loop.time() + seconds
+    tasks = []
+    while loop.time() < end_at:
+        await asyncio.sleep(rng.expovariate(6.0))
+        shape = rng.choice(["one", "wide", "gang", "chain"])
+        run_ms = int(rng.uniform(50, 2500))
+        steps = {
+            "one": (step(1, run_ms),),
+            "wide": (step(rng.randint(2, 8), run_ms),),
+            "gang": (step(rng.randint(2, 5), run_ms, cores=2000, gang=True),),
+            "chain": (step(2, run_ms), step(2, run_ms, after=(0,))),
+        }[shape]
+        spec = cell.spec(
+            *steps,
+            queue=rng.choice(["urgent", "normal"]),
+            customer=rng.choice(["roster", "stalls"]),
+        )
+        tasks.append(asyncio.create_task(_insist(cell, spec)))
+        if rng.random() < 0.1:
+            loop.call_later(
+                rng.random(),
+                lambda s=spec: tasks.append(  # type: ignore[misc]
+                    asyncio.create_task(_cancel(cell, s))
+                ),
+            )
+    await asyncio.gather(*tasks)
+
+
+async def _insist(cell: FakeCell, spec: JobSpec) -> None:
+    for _ in range(40):
+        reply = await cell.submit(spec)
+        if reply.verdict is Verdict.ACCEPTED:
+            return
+        await asyncio.sleep(0.3)
+
+
+async def _cancel(cell: FakeCell, spec: JobSpec) -> None:
+    for _ in range(20):
+        reply = await cell.cancel(spec)
+        if reply.verdict is Verdict.CANCELLED:
+            return
+        await asyncio.sleep(0.3)
+
+
+@pytest.mark.parametrize("seed", range(40))
+@with_cell(vms=4, workers=6)
+async def test_overlapping_faults_break_no_promise(cell: FakeCell, seed: int) -> None:
+    """Guards every promise against faults that overlap, in an order of the seed's."""
+    rng = cell.rng
+    load = asyncio.create_task(_load(cell, 15.0))
+    faults = []
+    for _ in range(8):
+        await asyncio.sleep(rng.uniform(0.2, 2.5))
+        fault = rng.choice(FAULTS)
+        print(f"{asyncio.get_running_loop().time():.2f} {fault}")
+        faults.append(asyncio.create_task(_inject(cell, fault)))
+    await asyncio.gather(load, *faults)
+    assert await cell.finished(cell.accepted, 60.0) == set()
+    assert not cell.accepted & cell.rejected - cell.accepted
+    ran = set(cell.fleet.first_start_by_job)
+    assert not ran & (cell.rejected - cell.accepted) - _repeated(cell)
+
+
+def _repeated(cell: FakeCell) -> set[str]:
+    """Return the jobs that some caller was told neither way, so that they may run."""
+    return {record.key[2:] for record in cell.store.values(Topic.JOBS)}
--- /dev/null
+++ b/tools/emulator/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of a cell's outside in virtual time, with the faults of the real one."""
--- /dev/null
+++ b/tools/emulator/cell/fleet.py
@@ -0,0 +1,394 @@
+"""Workers that run tasks under leases and note every broken promise."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field, replace
+
+from briarrun_cell.model import (
+    EndKind,
+    EndReport,
+    Inventory,
+    JobSpec,
+    RunReport,
+    StepId,
+    TaskId,
+    WorkerEntry,
+)
+from briarrun_cell.ports import (
+    AdviceAnswer,
+    Advisor,
+    OrderOutcome,
+    StartOrder,
+    WorkerAnswer,
+    Workers,
+)
+from briarrun_core.resources import NOTHING, Resources
+
+GANG_WAIT_S = 3.0
+STOP_S = 0.3
+ORDER_LATENCY_S = 0.002
+
+
+@dataclass
+class WorkerFaults:
+    """Switch faults of one worker; shares are probabilities."""
+
+    cut: bool = False
+    late_orders: float = 0.0
+    late_s: float = 3.0
+    fails_all: bool = False
+    hangs: bool = False
+    slow_factor: float = 1.0
+
+
+@dataclass(eq=False)
+class _Run:
+    task: TaskId
+    number: int
+    need: Resources
+    began_at: float
+    run_s: float
+    timer: asyncio.TimerHandle | None = None
+    stopping: bool = False
+
+
+@dataclass(eq=False)
+class FakeWorker:
+    """Hold one life of a worker."""
+
+    entry: WorkerEntry
+    clock_rate: float = 1.0
+    clock_start_s: float = 500.0
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    dead: bool = False
+    token: int = 0
+    lease_ms: int = 0
+    runs_by_id: dict[tuple[TaskId, int], _Run] = field(default_factory=dict)
+    ended: list[EndReport] = field(default_factory=list)
+    highest_by_task: dict[TaskId, int] = field(default_factory=dict)
+    count: int = 0
+    born_at: float = 0.0
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+    lease_timer: asyncio.TimerHandle | None = None
+
+
+class Fleet(Workers):
+    """Run tasks; ``violations`` lists every broken promise with its time."""
+
+    def __init__(self, rng: random.Random, max_lease_s: float = 6.0) -> None:
+        self.rng = rng
+        self.max_lease_s = max_lease_s
+        self.workers_by_address: dict[str, FakeWorker] = {}
+        self.specs_by_id: dict[str, JobSpec] = {}
+        self.poison: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
+        self.run_s_by_job: dict[str, float] = {}
+        self.limits_by_customer: dict[str, Resources] = {}
+        self.violations: list[str] = []
+        self.done_noted: set[TaskId] = set()
+        self.starts = 0
+        self.first_start_by_job: dict[str, float] = {}
+        self.looks = 0
+
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    def add(self, entry: WorkerEntry, **fields: float) -> FakeWorker:
+        """Start a worker."""
+        worker = FakeWorker(entry, born_at=self.now(), **fields)  # type: ignore[arg-type]
+        self.workers_by_address[entry.address] = worker
+        return worker
+
+    def crash(self, worker: FakeWorker) -> None:
+        """End a worker's life; nothing of it runs on."""
+        worker.dead = True
+        for run in worker.runs_by_id.values():
+            if run.timer is not None:
+                run.timer.cancel()
+        worker.runs_by_id.clear()
+
+    def rebirth(self, worker: FakeWorker) -> FakeWorker:
+        """Start the next life of a worker under the same id."""
+        self.crash(worker)
+        born_ms = worker.entry.born_ms + 1
+        return self.add(replace(worker.entry, born_ms=born_ms))
+
+    def _report(self, text: str) -> None:
+        self.violations.append(f"{self.now():.3f}: {text}")
+
+    def _clock_ms(self, worker: FakeWorker) -> int:
+        elapsed_s = (self.now() - worker.born_at) * worker.clock_rate
+        return int((worker.clock_start_s + elapsed_s) * 1000)
+
+    # Orders
+
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, timeout_s: float
+    ) -> WorkerAnswer:
+        """Start a run."""
+        found = await self._reach(worker, timeout_s)
+        if isinstance(found, WorkerAnswer):
+            return found
+        if self.rng.random() < found.faults.late_orders:
+            self._later(found, self._start, found, order)
+            await asyncio.sleep(timeout_s)
+            return WorkerAnswer(OrderOutcome.UNKNOWN)
+        return WorkerAnswer(self._start(found, order))
+
+    async def stop(
+        self, worker: WorkerEntry, task: TaskId, run: int, epoch: int, timeout_s: float
+    ) -> WorkerAnswer:
+        """Stop a run."""
+        found = await self._reach(worker, timeout_s)
+        if isinstance(found, WorkerAnswer):
+            return found
+        if self.rng.random() < found.faults.late_orders:
+            self._later(found, self._stop, found, task, run, epoch)
+            await asyncio.sleep(timeout_s)
+            return WorkerAnswer(OrderOutcome.UNKNOWN)
+        return WorkerAnswer(self._stop(found, task, run, epoch))
+
+    async def look(
+        self,
+        worker: WorkerEntry,
+        epoch: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> WorkerAnswer:
+        """Return the inventory after a wait for an end."""
+        self.looks += 1
+        found = await self._reach(worker, timeout_s)
+        if isinstance(found, WorkerAnswer):
+            return found
+        if epoch < found.token:
+            return WorkerAnswer(OrderOutcome.FENCED)
+        found.token = epoch
+        self._acknowledge(found, acknowledged)
+        if lease_until_ms is not None:
+            self._extend(found, lease_until_ms)
+        if wait_s and not found.ended:
+            found.news.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await found.news.wait()
+            except TimeoutError:
+                pass
+        if found.dead or found.faults.cut:
+            return WorkerAnswer(OrderOutcome.UNKNOWN)
+        return WorkerAnswer(OrderOutcome.DONE, self._inventory(found))
+
+    def _later(self, worker: FakeWorker, call: object, *arguments: object) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(worker.faults.late_s, call, *arguments)  # type: ignore[arg-type]
+
+    async def _reach(
+        self, entry: WorkerEntry, timeout_s: float
+    ) -> FakeWorker | WorkerAnswer:
+        await asyncio.sleep(ORDER_LATENCY_S)
+        found = self.workers_by_address.get(entry.address)
+        if found is None or found.dead or found.faults.cut:
+            await asyncio.sleep(timeout_s)
+            return WorkerAnswer(OrderOutcome.UNREACHABLE)
+        if found.entry.worker_id != entry.worker_id:
+            return WorkerAnswer(OrderOutcome.OTHER_LIFE)
+        return found
+
+    def _inventory(self, worker: FakeWorker) -> Inventory:
+        running = tuple(
+            RunReport(run.task, run.number, "", self._percent(worker, run), 0.0)
+            for run in worker.runs_by_id.values()
+        )
+        return Inventory(
+            self._clock_ms(worker),
+            worker.entry.born_ms,
+            running,
+            tuple(worker.ended[:500]),
+        )
+
+    def _percent(self, worker: FakeWorker, run: _Run) -> int:
+        if worker.faults.hangs:
+            return 0
+        return min(99, int(100 * (self.now() - run.began_at) / max(run.run_s, 0.01)))
+
+    def _acknowledge(self, worker: FakeWorker, number: int) -> None:
+        for end in worker.ended:
+            if end.number <= number and end.kind is EndKind.DONE:
+                self.done_noted.add(end.task)
+        worker.ended = [end for end in worker.ended if end.number > number]
+
+    def _extend(self, worker: FakeWorker, until_ms: int) -> None:
+        clock_ms = self._clock_ms(worker)
+        bounded = min(until_ms, clock_ms + int(self.max_lease_s * 1000))
+        if bounded <= worker.lease_ms:
+            return
+        worker.lease_ms = bounded
+        if worker.lease_timer is not None:
+            worker.lease_timer.cancel()
+        left_s = max(0.0, (bounded - clock_ms) / 1000 / worker.clock_rate)
+        loop = asyncio.get_running_loop()
+        worker.lease_timer = loop.call_later(left_s + 0.001, self._lapse, worker)
+
+    def _lapse(self, worker: FakeWorker) -> None:
+        for run in list(worker.runs_by_id.values()):
+            self._end(worker, run, EndKind.LEASE_LAPSED)
+
+    def _start(self, worker: FakeWorker, order: StartOrder) -> OrderOutcome:
+        if worker.dead or worker.faults.cut:
+            return OrderOutcome.UNREACHABLE
+        if order.epoch < worker.token:
+            return OrderOutcome.FENCED
+        worker.token = order.epoch
+        if order.lease_until_ms <= self._clock_ms(worker):
+            return OrderOutcome.EXPIRED
+        key = (order.task, order.run)
+        if key in worker.runs_by_id:
+            return OrderOutcome.DONE
+        if order.run <= worker.highest_by_task.get(order.task, 0):
+            return OrderOutcome.SUPERSEDED
+        self._extend(worker, order.lease_until_ms)
+        spec = self.specs_by_id.get(order.task.job_id)
+        if spec is None:
+            self._report(f"{order.task} was started but never submitted")
+            return OrderOutcome.REJECTED
+        step = spec.steps[order.task.step]
+        self._check_start(worker, order, spec)
+        run_s = self.run_s_by_job.get(order.task.job_id, step.estimated_ms / 1000)
+        run = _Run(
+            order.task,
+            order.run,
+            step.need,
+            self.now(),
+            run_s * worker.faults.slow_factor,
+        )
+        worker.runs_by_id[key] = run
+        self.starts += 1
+        self.first_start_by_job.setdefault(order.task.job_id, self.now())
+        loop = asyncio.get_running_loop()
+        if step.gang:
+            self._gather_gang(order.task.step_id, order.run, step.count)
+        elif not worker.faults.hangs and not step.service:
+            run.timer = loop.call_later(run.run_s, self._finish, worker, run)
+        return OrderOutcome.DONE
+
+    def _check_start(
+        self, worker: FakeWorker, order: StartOrder, spec: JobSpec
+    ) -> None:
+        task, step = order.task, spec.steps[order.task.step]
+        used = NOTHING
+        for run in worker.runs_by_id.values():
+            used = used + run.need
+        if not (used + step.need).fits_in(worker.entry.capacity):
+            self._report(f"{worker.entry.worker_id} is overcommitted by {task}")
+        if task in self.done_noted and not step.duplicates_allowed:
+            self._report(f"{task} was started after it was done")
+        cancelled_at = self.cancelled_at.get(task.job_id)
+        if cancelled_at is not None and self.now() > cancelled_at + 3.0:
+            self._report(f"{task} was started after its job was cancelled")
+        total, in_use = step.need, NOTHING
+        for other in self.workers_by_address.values():
+            if other.dead:
+                continue
+            for run in other.runs_by_id.values():
+                same = run.task == task and not step.duplicates_allowed
+                if same:
+                    self._report(f"{task} runs twice")
+                owner = self.specs_by_id[run.task.job_id].customer
+                if owner == spec.customer:
+                    in_use = in_use + run.need
+        limit = self.limits_by_customer.get(spec.customer)
+        running = in_use + total
+        if limit is not None and (
+            0 < limit.cores < running.cores or 0 < limit.memory_mib < running.memory_mib
+        ):
+            self._report(f"{spec.customer} is above its limit")
+
+    def _gather_gang(self, step: StepId, number: int, count: int) -> None:
+        members = [
+            (worker, run)
+            for worker in self.workers_by_address.values()
+            for run in worker.runs_by_id.values()
+            if run.task.step_id == step and run.number == number
+        ]
+        loop = asyncio.get_running_loop()
+        if len(members) == count:
+            for worker, run in members:
+                if run.timer is not None:
+                    run.timer.cancel()
+                run.timer = loop.call_later(run.run_s, self._finish, worker, run)
+        else:
+            worker, run = members[-1]
+            run.timer = loop.call_later(
+                GANG_WAIT_S, self._end, worker, run, EndKind.GANG_INCOMPLETE
+            )
+
+    def _finish(self, worker: FakeWorker, run: _Run) -> None:
+        failed = worker.faults.fails_all or run.task.job_id in self.poison
+        self._end(worker, run, EndKind.FAILED if failed else EndKind.DONE)
+
+    def _stop(
+        self, worker: FakeWorker, task: TaskId, number: int, epoch: int
+    ) -> OrderOutcome:
+        if worker.dead or worker.faults.cut:
+            return OrderOutcome.UNREACHABLE
+        if epoch < worker.token:
+            return OrderOutcome.FENCED
+        worker.token = epoch
+        highest = worker.highest_by_task.get(task, 0)
+        worker.highest_by_task[task] = max(highest, number)
+        run = worker.runs_by_id.get((task, number))
+        if run is not None and not run.stopping:
+            run.stopping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_S, self._end, worker, run, EndKind.STOPPED)
+        return OrderOutcome.DONE
+
+    def _end(self, worker: FakeWorker, run: _Run, kind: EndKind) -> None:
+        if worker.runs_by_id.pop((run.task, run.number), None) is None:
+            return
+        if run.timer is not None:
+            run.timer.cancel()
+        highest = worker.highest_by_task.get(run.task, 0)
+        worker.highest_by_task[run.task] = max(highest, run.number)
+        worker.count += 1
+        worker.ended.append(EndReport(worker.count, run.task, run.number, kind, ""))
+        worker.news.set()
+        step = self.specs_by_id[run.task.job_id].steps[run.task.step]
+        if step.gang and kind is not EndKind.DONE:
+            self._break_gang(run)
+
+    def _break_gang(self, broken: _Run) -> None:
+        for worker in self.workers_by_address.values():
+            for run in list(worker.runs_by_id.values()):
+                same = run.task.step_id == broken.task.step_id
+                if same and run.number == broken.number:
+                    self._end(worker, run, EndKind.GANG_BROKEN)
+
+
+class FakeAdvisor(Advisor):
+    """Approve every worker that is not in ``refused``; one call at a time."""
+
+    def __init__(self, decision_s: float = 0.01, validity_s: float = 2.0) -> None:
+        self._decision_s = decision_s
+        self._validity_s = validity_s
+        self._turn = asyncio.Lock()
+        self.refused: set[str] = set()
+        self.calls = 0
+
+    async def advise(
+        self, step: StepId, worker_ids: object, timeout_s: float
+    ) -> AdviceAnswer:
+        """Return a ticket for each approved worker."""
+        self.calls += 1
+        async with self._turn:
+            await asyncio.sleep(self._decision_s)
+        tickets = {
+            worker_id: f"{step.job_id}-{worker_id}"
+            for worker_id in worker_ids  # type: ignore[attr-defined]
+            if worker_id not in self.refused
+        }
+        return AdviceAnswer(tickets, self._validity_s)
