--- a/packages/cell/src/briarrun_cell/front.py
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -162,7 +162,8 @@
             reply = await self._write(record)
             _LOG.info("decided on a cancel", job=job_id, outcome=reply.verdict)
             entry = self._table.by_id.get(job_id)
-            if reply.verdict is Verdict.ACCEPTED and entry is None:
+            unknown = entry is None or entry.spec is None
+            if reply.verdict is Verdict.ACCEPTED and unknown:
                 return Reply(Verdict.UNKNOWN_JOB, detail="no such job")
             return named_for(reply, Verdict.CANCELLED, customer)
         return Reply(Verdict.CANCELLED, customer=customer)
--- /dev/null
+++ b/tests/cell/test_ledger.py
@@ -0,0 +1,302 @@
+"""Guard the holder's books, without a clock that moves by itself."""
+
+from __future__ import annotations
+
+import pytest
+
+from briarrun_cell.clock import Clock
+from briarrun_cell.job_table import JobEntry
+from briarrun_cell.ledger import LeaseTerms, Ledger
+from briarrun_cell.model import (
+    CellConfig,
+    Customer,
+    EndKind,
+    EndReport,
+    Inventory,
+    JobSpec,
+    JobState,
+    Queue,
+    RunReport,
+    StepSpec,
+    WorkerEntry,
+)
+from briarrun_cell.orders import OrderSender, TenureGuard
+from briarrun_cell.planner import Planner
+from briarrun_cell.ports import StartOrder, WorkerAnswer, Workers
+from briarrun_cell.records import JobProgress
+from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_core.resources import Resources
+
+TERMS = LeaseTerms(lease_s=3.0, start_s=2.0, longest_s=9.0)
+URGENT = Queue(name="urgent", host="h", path_prefix="/u/", pool="p", max_attempts=2)
+NORMAL = Queue(
+    name="normal", host="h", path_prefix="/n/", pool="p", priority=1, max_attempts=2
+)
+
+
+class ManualClock(Clock):
+    """Stand still until told otherwise."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+    def wall_ms(self) -> int:
+        return int(self.time * 1000)
+
+
+def entry(worker_id: str, born_ms: int = 1, cores: int = 8000) -> WorkerEntry:
+    capacity = Resources(cores, 10_000)
+    address = f"{worker_id}:1"
+    return WorkerEntry(
+        worker_id, born_ms, address, "p", "fd", capacity, ("a", "r1"), "r1", False
+    )
+
+
+def books(workers: int = 2, limit: Resources | None = None) -> Ledger:
+    customer = Customer("c", ("k",), 100.0, limit or Resources())
+    config = CellConfig(
+        1, {"urgent": URGENT, "normal": NORMAL}, {"c": customer}, {"k": "c"}
+    )
+    ledger = Ledger(ManualClock(), 5, config, TERMS, lambda job_id: None)
+    entries = [entry(f"w{number}") for number in range(workers)]
+    for worker in ledger.set_workers(entries, []):
+        look(ledger, worker)
+    return ledger
+
+
+def look(
+    ledger: Ledger,
+    worker: Worker,
+    running: tuple[RunReport, ...] = (),
+    ended: tuple[EndReport, ...] = (),
+) -> None:
+    inventory = Inventory(1_000, worker.entry.born_ms, running, ended)
+    ledger.on_inventory(worker, inventory, ledger.clock.now())
+
+
+def job(
+    ledger: Ledger, job_id: str, *steps: StepSpec, queue: Queue = NORMAL
+) -> JobSpec:
+    spec = JobSpec(
+        job_id=job_id,
+        terms=queue,
+        customer="c",
+        payload="x",
+        steps=steps or (StepSpec(need=Resources(1000, 10), estimated_ms=1000),),
+        accepted_ms=ledger.clock.wall_ms(),
+    )
+    ledger.set_job(job_id, JobEntry(spec=spec))
+    return spec
+
+
+def started(ledger: Ledger) -> list[Run]:
+    runs = [run for each in Planner(ledger).plan().placements for run in each.runs]
+    for run in runs:
+        run.state = RunState.STARTING
+        ledger.on_started(run)
+    return runs
+
+
+def test_released_job_is_not_entered_again_from_an_older_record() -> None:
+    """Guards against a finished job that starts anew.
+
+    The stream runs behind the books, so a record without an outcome may be read after
+    the job has left the books.
+    """
+    ledger = books()
+    spec = job(ledger, "j1")
+    (run,) = started(ledger)
+    end = EndReport(1, run.task, run.number, EndKind.DONE, "")
+    look(ledger, run.worker, ended=(end,))
+    ledger.dirty.clear()
+    ledger.release_final()
+    assert "j1" not in ledger.jobs_by_id
+    ledger.set_job("j1", JobEntry(spec=spec, progress=JobProgress(begun=True)))
+    assert "j1" not in ledger.jobs_by_id
+    final = JobProgress(begun=True, final=JobState.COMPLETED)
+    ledger.set_job("j1", JobEntry(spec=spec, progress=final))
+    assert "j1" not in ledger.jobs_by_id
+
+
+class _NoTenure(TenureGuard):
+    def holds(self) -> bool:
+        return False
+
+    def keeps_leases(self) -> bool:
+        return False
+
+    def on_fenced(self) -> None:
+        raise AssertionError
+
+    def on_reborn(self, worker: Worker, born_ms: int) -> None:
+        raise AssertionError
+
+    def wake(self) -> None:
+        raise AssertionError
+
+
+class _NoWorkers(Workers):
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, timeout_s: float
+    ) -> WorkerAnswer:
+        raise AssertionError("an order was sent without tenure")
+
+    stop = look = start  # type: ignore[assignment]
+
+
+async def test_no_order_leaves_without_tenure() -> None:
+    """Guards against a start that a holder sends after its term has ended."""
+    ledger = books()
+    job(ledger, "j1")
+    (placement,) = Planner(ledger).plan().placements
+    sender = OrderSender(_NoWorkers(), ledger, ledger.clock, _NoTenure())
+    await sender.start(placement.runs[0], placement.step)
+    assert placement.step.pending == {0}
+    assert not placement.runs[0].worker.runs_by_id
+
+
+@pytest.mark.parametrize(
+    ("clock_ms", "charged"),
+    [(1_000, True), (4_000, True), (4_001, False)],
+    ids=["before", "at the last moment", "after"],
+)
+def test_unanswered_start_keeps_its_room_until_it_has_expired(
+    clock_ms: int, charged: bool
+) -> None:
+    """Guards against room given away while a start order may still be carried out."""
+    ledger = books(1)
+    job(ledger, "j1")
+    ((run,),) = [each.runs for each in Planner(ledger).plan().placements]
+    run.state, run.order_until_ms = RunState.STARTING, 4_000
+    inventory = Inventory(clock_ms, 1, (), ())
+    ledger.on_inventory(run.worker, inventory, ledger.clock.now())
+    assert bool(run.worker.runs_by_id) is charged
+
+
+def test_stopped_run_is_charged_until_its_end_is_listed() -> None:
+    """Guards against room given away while a run is being stopped."""
+    ledger = books(1)
+    job(ledger, "j1")
+    (run,) = started(ledger)
+    ledger.stop(run, "test")
+    report = RunReport(run.task, run.number, "", 10, 0.0)
+    look(ledger, run.worker, running=(report,))
+    assert run.worker.used == run.need
+    end = EndReport(1, run.task, run.number, EndKind.STOPPED, "saved")
+    look(ledger, run.worker, ended=(end,))
+    assert run.worker.used.is_zero
+    (again,) = started(ledger)
+    assert again.checkpoint == "saved"
+    assert again.number > run.number
+
+
+def test_gang_starts_whole_or_not_at_all() -> None:
+    """Guards against members of a gang that wait for others without room."""
+    ledger = books(2)
+    wide = StepSpec(count=5, need=Resources(4000, 1), estimated_ms=1000, gang=True)
+    job(ledger, "j1", wide)
+    assert started(ledger) == []
+    job(
+        ledger,
+        "j2",
+        StepSpec(count=4, need=Resources(4000, 1), gang=True),
+        queue=URGENT,
+    )
+    runs = started(ledger)
+    assert len(runs) == 4
+    assert len({run.number for run in runs}) == 1
+
+
+def test_end_of_one_member_ends_the_gang() -> None:
+    """Guards against a gang that is run again though one member reported it done."""
+    ledger = books(2)
+    job(ledger, "j1", StepSpec(count=2, need=Resources(1000, 1), gang=True))
+    first, second = started(ledger)
+    end = EndReport(1, first.task, first.number, EndKind.DONE, "")
+    look(ledger, first.worker, ended=(end,))
+    assert ledger.jobs_by_id["j1"].progress.final is JobState.COMPLETED
+
+
+def test_customer_limit_counts_runs_that_are_being_stopped() -> None:
+    """Guards against a customer above its limit while its runs are being stopped."""
+    ledger = books(2, limit=Resources(2000, 0))
+    job(ledger, "j1", StepSpec(count=3, need=Resources(1000, 1), estimated_ms=10))
+    runs = started(ledger)
+    assert len(runs) == 2
+    ledger.stop(runs[0], "test")
+    assert started(ledger) == []
+
+
+def test_max_per_worker_bounds_the_tasks_of_a_step() -> None:
+    """Guards against more tasks of a step on one worker than it allows."""
+    ledger = books(2)
+    job(ledger, "j1", StepSpec(count=6, need=Resources(10, 1), max_per_worker=2))
+    runs = started(ledger)
+    assert len(runs) == 4
+    per_worker = [run.worker.worker_id for run in runs]
+    assert max(per_worker.count(each) for each in per_worker) == 2
+
+
+def test_job_beyond_the_customers_rate_goes_last() -> None:
+    """Guards against one customer's flood that delays what is owed to others.
+
+    Load: one customer sends many times its usual while the cell is full.
+    """
+    ledger = books(1)
+    flood = Customer("flood", ("f",), 1.0, Resources())
+    ledger.config.customers_by_name["flood"] = flood
+    for number in range(30):
+        spec = job(ledger, f"f{number:02}", StepSpec(need=Resources(4000, 1)))
+        del ledger.jobs_by_id[spec.job_id]
+        owned = JobSpec(
+            job_id=spec.job_id,
+            terms=NORMAL,
+            customer="flood",
+            payload="x",
+            steps=spec.steps,
+            accepted_ms=ledger.clock.wall_ms(),
+        )
+        ledger.set_job(owned.job_id, JobEntry(spec=owned))
+    job(ledger, "owed", StepSpec(need=Resources(4000, 1)))
+    runs = started(ledger)
+    assert {run.task.job_id for run in runs} == {"f00", "owed"}
+
+
+def test_punctual_work_goes_before_late_work_of_the_same_queue() -> None:
+    """Guards against a backlog that makes every later job late as well.
+
+    Load: a burst of urgent jobs beyond the cell's room.
+    """
+    ledger = books(1)
+    assert isinstance(ledger.clock, ManualClock)
+    for number in range(4):
+        step = StepSpec(need=Resources(8000, 1), estimated_ms=500)
+        job(ledger, f"old{number}", step, queue=URGENT)
+    ledger.clock.time += 1.2
+    job(
+        ledger, "new", StepSpec(need=Resources(8000, 1), estimated_ms=500), queue=URGENT
+    )
+    worker = ledger.workers_by_id["w0"]
+    worker.contact_at = ledger.clock.now()
+    (run,) = started(ledger)
+    assert run.task.job_id == "new"
+
+
+def test_worker_that_fails_everything_gets_no_more_work() -> None:
+    """Guards against a failing worker that draws work because it is always free."""
+    ledger = books(2)
+    bad = ledger.workers_by_id["w0"]
+    for number in range(1, 5):
+        spec = job(ledger, f"j{number}")
+        step = next(iter(ledger.jobs_by_id[spec.job_id].steps_by_id.values()))
+        run = ledger.place(step, 0, bad)
+        look(
+            ledger,
+            bad,
+            ended=(EndReport(number, run.task, run.number, EndKind.FAILED, ""),),
+        )
+    assert not bad.usable(ledger.clock.now())
+    assert {run.worker.worker_id for run in started(ledger)} == {"w1"}
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform_adapter/test_callers.py
@@ -0,0 +1,98 @@
+"""Guard what callers are told, with the front over a fake cell."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from briarrun_cell.clock import LoopClock
+from briarrun_cell.metrics import Metrics
+from briarrun_platform.callers import CallerHandler
+from briarrun_wire.http_types import HttpRequest, HttpResponse
+from tests.cell.running import with_cell
+from tools.emulator.cell.cell import FakeCell
+
+pytestmark = pytest.mark.looptime
+
+BODY = json.dumps({"steps": [{"count": 1, "cpu": 10, "estimatedMs": 50}]}).encode()
+JOB = "00000000000000ab"
+
+
+async def _call(
+    cell: FakeCell,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    key: str | None = "key-roster",
+    host: str = "h:80",
+) -> HttpResponse:
+    core = cell.vms_by_name["vm0"].core
+    assert core is not None
+    handler = CallerHandler(core.front, LoopClock(), Metrics())
+    headers = {"host": host}
+    if key is not None:
+        headers["authorization"] = f"Bearer {key}"
+    return await handler.handle(HttpRequest(method, path, {}, headers, body))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "key", "body", "status"),
+    [
+        ("POST", f"/urgent/{JOB}", "key-roster", BODY, 200),
+        ("POST", f"/urgent/{JOB}", "other", BODY, 401),
+        ("POST", f"/urgent/{JOB}", None, BODY, 401),
+        ("POST", f"/nowhere/{JOB}", "key-roster", BODY, 404),
+        ("POST", "/urgent/short", "key-roster", BODY, 400),
+        ("POST", f"/urgent/{JOB}", "key-roster", b"{", 400),
+        ("PUT", f"/urgent/{JOB}", "key-roster", BODY, 400),
+        ("GET", f"/urgent/{JOB}", "key-roster", b"", 410),
+        ("DELETE", f"/urgent/{JOB}", "key-roster", b"", 410),
+        ("GET", "/urgent/", "key-roster", b"", 200),
+        ("POST", "/urgent/", "key-roster", BODY, 400),
+    ],
+)
+@with_cell()
+async def test_statuses(
+    cell: FakeCell, method: str, path: str, key: str | None, body: bytes, status: int
+) -> None:
+    """Guards against a status that tells a caller something untrue."""
+    await asyncio.sleep(0.5)
+    cell.fleet.specs_by_id[JOB] = cell.spec()
+    response = await _call(cell, method, path, body, key)
+    assert response.status == status
+
+
+@with_cell()
+async def test_refusals_say_when_to_come_back(cell: FakeCell) -> None:
+    """Guards against a refusal without Retry-After, and keys judged by old knowledge."""
+    cell.store.faults.silent = True
+    await asyncio.sleep(3.0)
+    response = await _call(cell, "POST", f"/urgent/{JOB}", BODY)
+    assert response.status == 503
+    assert response.header("Retry-After") == "1"
+    await asyncio.sleep(3.0)
+    response = await _call(cell, "GET", f"/urgent/{JOB}")
+    assert response.status == 503
+
+
+@with_cell()
+async def test_unsettled_write_is_neither_accepted_nor_refused(cell: FakeCell) -> None:
+    """Guards against "not run" for a job that may run."""
+    await asyncio.sleep(0.5)
+    cell.store.faults.lose_answers = 1.0
+    cell.fleet.specs_by_id[JOB] = cell.spec()
+    response = await _call(cell, "POST", f"/urgent/{JOB}", BODY)
+    assert response.status == 504
+    cell.store.faults.lose_answers = 0.0
+    assert (await _call(cell, "POST", f"/urgent/{JOB}", BODY)).status == 200
+
+
+@with_cell()
+async def test_withdrawn_key_is_refused(cell: FakeCell) -> None:
+    """Guards against a key that works on after it was withdrawn."""
+    cell.publish(customers=("stalls",))
+    await asyncio.sleep(0.2)
+    response = await _call(cell, "POST", f"/urgent/{JOB}", BODY)
+    assert response.status == 401
