Refuse writes behind a lost one at once; log the shape of submissions

Ruled out: a shorter append timeout, since a store 50 times slower still answers. Change: while the store has answered nothing since a lost append, further writes are refused without being sent, so that "not run" is true.

--- a/packages/cell/src/briarrun_cell/accepting.py
+++ b/packages/cell/src/briarrun_cell/accepting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -45,9 +46,13 @@
 
     LANES = 2
 
-    def __init__(self, store: Store, clock: Clock) -> None:
+    def __init__(
+        self, store: Store, clock: Clock, last_answer_at: Callable[[], float]
+    ) -> None:
         self._store = store
         self._clock = clock
+        self._last_answer_at = last_answer_at
+        self._unanswered_at = float("-inf")
         self._queue: list[_Pending] = []
         self._wake = asyncio.Event()
 
@@ -57,8 +62,11 @@
         """Store one record.
 
         A refused write is tried again for ``refused_s`` seconds, one that may have
-        been stored for ``unsettled_s``.
+        been stored for ``unsettled_s``. Nothing is sent, and the record is certainly
+        not stored, while the store has answered nothing since an append was lost.
         """
+        if self._last_answer_at() < self._unanswered_at:
+            return WriteOutcome.NOT_STORED
         answer: asyncio.Future[WriteOutcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -80,6 +88,7 @@
             await self._send(batch)
 
     async def _send(self, batch: list[_Pending]) -> None:
+        sent_at = self._clock.now()
         result = await self._store.append(
             Topic.JOBS,
             [pending.record for pending in batch],
@@ -89,6 +98,9 @@
             for pending in batch:
                 _settle(pending, WriteOutcome.STORED)
             return
+        if result.outcome is AppendOutcome.UNKNOWN:
+            # An answer to a call sent earlier may still arrive just after the append.
+            self._unanswered_at = sent_at + APPEND_TIMEOUT_S / 2
         again = []
         for pending in batch:
             if result.outcome is AppendOutcome.UNKNOWN:
--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -129,7 +129,11 @@
             wait_s=SLOW_WAIT_S,
             pace_s=REGISTRY_PACE_S,
         )
-        self._writer = RecordWriter(store, clock)
+        self._writer = RecordWriter(
+            store,
+            clock,
+            lambda: max(self._jobs_tail.answered_at, self._config_tail.answered_at),
+        )
         self.front = Front(
             self.config,
             self._config_tail,
--- a/packages/cell/src/briarrun_cell/front.py
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -13,7 +13,7 @@
 from briarrun_cell.config_view import ConfigView
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.logs import PartLog
-from briarrun_cell.model import JobSpec, JobState, Queue
+from briarrun_cell.model import JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
 from briarrun_cell.tail import TopicTail
 
@@ -147,6 +147,7 @@
             queue=queue.name,
             outcome=reply.verdict,
             detail=reply.detail,
+            shape=[describe_step(step) for step in spec.steps],
             config=self._config.config.version,
             waited_ms=self._clock.wall_ms() - accepted.accepted_ms,
         )
@@ -215,12 +216,31 @@
 
     def _stale(self) -> Reply:
         return Reply(
-            Verdict.UNSETTLED,
+            Verdict.NOT_RUN,
             retry_after_s=RETRY_AFTER_S,
             detail="the job stream cannot be read",
         )
 
 
+def describe_step(step: StepSpec) -> str:
+    """Return a step's width, cores and run time, and what is special about it."""
+    special = [
+        name
+        for name, value in (
+            ("gang", step.gang),
+            ("service", step.service),
+            ("filler", step.filler),
+            ("duplicates", step.duplicates_allowed),
+            ("one-rack", step.same_rack),
+            ("near-data", step.data_rack),
+            ("labelled", step.required_label),
+        )
+        if value
+    ]
+    size = f"{step.count}x{step.need.cores}m/{step.estimated_ms}ms"
+    return " ".join([size, *special])
+
+
 def named_for(reply: Reply, success: Verdict, customer: str) -> Reply:
     """Return a reply whose success is named as the request names it."""
     verdict = success if reply.verdict is Verdict.ACCEPTED else reply.verdict
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -62,6 +62,7 @@
         self.pace_s = pace_s
         self.next_offset: int | None = None
         self.confirmed_at: float | None = None
+        self.answered_at = float("-inf")
         self._available = True
         self._progress = asyncio.Event()
 
@@ -118,6 +119,7 @@
 
     def _advance(self, following: int, confirmed_at: float | None) -> None:
         self.next_offset = following
+        self.answered_at = self._clock.now()
         if confirmed_at is not None:
             self.confirmed_at = confirmed_at
         self._note(True, "")
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -177,6 +177,24 @@
     assert loop.time() - began_at < 0.05
 
 
+@with_cell()
+async def test_writes_after_a_lost_one_are_refused_at_once(cell: FakeCell) -> None:
+    """Guards against callers held by a store that has just gone silent.
+
+    The first write that is lost must be waited for; those behind it were never sent, so
+    that "not run" is true of them.
+    """
+    loop = asyncio.get_running_loop()
+    cell.store.faults.silent = True
+    first = asyncio.create_task(cell.submit(cell.spec(), "vm0"))
+    await asyncio.sleep(0.8)
+    began_at = loop.time()
+    reply = await cell.submit(cell.spec(), "vm0")
+    assert reply.verdict is Verdict.NOT_RUN
+    assert loop.time() - began_at < 0.05
+    assert (await first).verdict is Verdict.UNSETTLED
+
+
 FAULTS = (
     "kill",
     "kill_all",
