--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SETUP := $(READY)
 endif
 
-.PHONY: setup format check test demo fleet faults bench capacity
+.PHONY: setup format check test demo fleet faults bench capacity progress
 
 setup: $(SETUP)
 
@@ -46,3 +46,6 @@
 
 capacity: setup
 	$(BIN)/python -m tools.capacity
+
+progress: setup
+	$(BIN)/python -m tools.progress
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -42,6 +42,27 @@
     assert took_s <= TAKEOVER_BOUND_S
 
 
+@pytest.mark.parametrize("seed", range(6))
+@with_cell()
+async def test_takeover_from_a_holder_that_the_store_turns_away(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against a holder that stays while the store refuses only its VM."""
+    await asyncio.sleep(1 + cell.rng.random())
+    turned_away = await cell.wait_for_holder()
+    turned_away.store.refused = True
+    began_at = asyncio.get_running_loop().time()
+    spec = cell.spec(step(1, 100))
+    others = [name for name in cell.vms_by_name if name != turned_away.name]
+    await cell.submit(spec, others[0])
+    while cell.holder() in (None, turned_away):
+        await asyncio.sleep(0.01)
+    turned_away.store.refused = False
+    assert await cell.finished({spec.job_id}, 10.0) == set()
+    took_s = cell.fleet.first_start_by_job[spec.job_id] - began_at
+    assert took_s <= TAKEOVER_BOUND_S
+
+
 @pytest.mark.parametrize("seed", range(6))
 @with_cell()
 async def test_restart_after_all_vms_lost_power(cell: FakeCell, seed: int) -> None:
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from briarrun_cell.clock import Clock
@@ -300,3 +302,12 @@
         )
     assert not bad.usable(ledger.clock.now())
     assert {run.worker.worker_id for run in started(ledger)} == {"w1"}
+
+
+def test_draining_worker_gets_no_new_work() -> None:
+    """Guards against work that is started on a worker about to leave."""
+    ledger = books(2)
+    entries = [replace(entry("w0"), draining=True), entry("w1")]
+    ledger.set_workers(entries, [])
+    job(ledger, "j1", StepSpec(count=4, need=Resources(1000, 1), estimated_ms=10))
+    assert {run.worker.worker_id for run in started(ledger)} == {"w1"}
--- /dev/null
+++ b/tools/progress/__init__.py
@@ -0,0 +1,1 @@
+"""Plot of the journal's scores."""
