Tell a read that waits in vain from a silent store

Cause: the age of the last confirmed read grows to twice the read's wait on an idle VM; above 1.9 s it refused submissions although the store answered. Ruled out: the takeover itself, which took 0.8 s. Change: silence is counted from the last answer; readiness follows it.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -50,10 +50,10 @@
 HOLDER_REGISTRY_PACE_S = 0.25
 """Pause between reads of the worker registry on the holder."""
 
-READY_CONFIG_AGE_S = 2.4
+READY_CONFIG_AGE_S = 3.0
 """A VM whose configuration is older takes no new connections."""
 
-READY_VIEW_AGE_S = 2.4
+READY_VIEW_AGE_S = 3.0
 """A VM whose view of the jobs is older takes no new connections."""
 
 LEASE_S = 3.2
@@ -186,6 +186,7 @@
         """Tell whether the configuration and the jobs are known as of now."""
         return (
             self.config.loaded
+            and not self.front.store_is_silent
             and self._config_tail.age_s() <= READY_CONFIG_AGE_S
             and self._jobs_tail.age_s() <= READY_VIEW_AGE_S
         )
--- a/packages/cell/src/briarrun_cell/front.py
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -24,11 +24,11 @@
 UNSETTLED_PATIENCE_S = 0.9
 """Time for which a write whose answer was lost is tried again."""
 
-STORE_SILENCE_S = 1.9
-"""The store counts as unreachable when no read has reached its end for this long; it is
+STORE_SILENCE_S = 1.5
+"""The store counts as unreachable when it has answered no read for this long; it is
 longer than one read waits."""
 
-VIEW_AGE_S = 2.0
+VIEW_AGE_S = 2.6
 """A job that is not known counts as nonexistent only if the view is younger."""
 
 RETRY_AFTER_S = 1
@@ -172,7 +172,7 @@
     @property
     def store_is_silent(self) -> bool:
         """Tell whether the store is known to be unreachable from here."""
-        silence_s = min(self._config_tail.age_s(), self._jobs_tail.age_s())
+        silence_s = min(self._config_tail.silence_s(), self._jobs_tail.silence_s())
         return silence_s > STORE_SILENCE_S
 
     async def _write(self, record: Record) -> Reply:
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -41,7 +41,8 @@
     """Read one topic for good; ``pace_s`` gathers records between reads.
 
     ``confirmed_at`` is the time of sending of the last read that reached the end, so
-    everything written before it is known.
+    everything written before it is known. A read that waits in vain makes it up to
+    twice the wait old although the store answers, which ``answered_at`` tells.
     """
 
     def __init__(
@@ -72,6 +73,10 @@
             return float("inf")
         return self._clock.now() - self.confirmed_at
 
+    def silence_s(self) -> float:
+        """Return for how long no read was answered; it includes a read's own wait."""
+        return self._clock.now() - self.answered_at
+
     async def reach(self, end: int) -> None:
         """Wait until every record before an offset has been taken."""
         while self.next_offset is None or self.next_offset < end:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -185,6 +185,16 @@
     assert cell.fleet.starts == 4
 
 
+@pytest.mark.parametrize("idle_s", [round(0.1 * n, 1) for n in range(1, 35)])
+@with_cell()
+async def test_idle_vm_accepts_at_any_moment(cell: FakeCell, idle_s: float) -> None:
+    """Guards against a read that waits in vain taken for a store that is silent."""
+    await asyncio.sleep(idle_s)
+    for name, vm in cell.vms_by_name.items():
+        assert vm.core is not None and vm.core.current
+        assert (await cell.submit(cell.spec(), name)).verdict is Verdict.ACCEPTED
+
+
 @with_cell()
 async def test_known_outage_is_refused_at_once(cell: FakeCell) -> None:
     """Guards against callers held until their deadline by a store that is away."""
--- a/tools/progress/__main__.py
+++ b/tools/progress/__main__.py
@@ -65,7 +65,9 @@
     """Write the figure and print the runs."""
     runs = read_journal(JOURNAL)
     for run in runs:
-        print(f"{run.ended_at} {run.site}: worth {run.worth:.3f}, broken days {run.broken}")
+        print(
+            f"{run.ended_at} {run.site}: worth {run.worth:.3f}, broken days {run.broken}"
+        )
     plot(runs, FIGURE)
 
 
