Give the books their own copy of a job's progress

A holder without tenure applied an end it could not store; the books shared the progress with the fold, so its successor in the same process took the job for finished, acknowledged the end and stored nothing; after all VMs were killed the gang ran again. Change: deep copy at takeover; rounds of planning reject steps without room at once and pause in proportion to their cost; searches for hanging runs every 0.2 s. Measured: the test of the books red before, green after.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -28,9 +28,19 @@
 ROUND_PAUSE_S = 0.004
 """Time in which causes for a round of decisions are gathered."""
 
+PAUSE_FACTOR = 3.0
+"""A round that took long is followed by a pause of this multiple, so that decisions
+leave most of the processor to orders and looks while much work waits."""
+
+MAX_ROUND_PAUSE_S = 0.04
+"""Longest pause between rounds while there is cause for one."""
+
 TICK_S = 0.05
 """Longest time between rounds of decisions."""
 
+REVIEW_EVERY_S = 0.2
+"""Pause between searches for runs that hang."""
+
 CARETAKING_S = 6.0
 """Time for which a holder that cannot renew its claim keeps the leases of runs."""
 
@@ -100,6 +110,7 @@
         self._parts = parts
         self._tenure = tenure
         self._closed = False
+        self._next_review_at = float("-inf")
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self.ledger = Ledger(
@@ -239,26 +250,29 @@
     # Decisions
 
     async def _decide(self) -> None:
+        pause_s = ROUND_PAUSE_S
         while True:
             try:
                 async with asyncio.timeout(TICK_S):
                     await self._wake.wait()
             except TimeoutError:
                 pass
-            await asyncio.sleep(ROUND_PAUSE_S)
+            await asyncio.sleep(pause_s)
             self._wake.clear()
             if self.holds():
+                began_at = self._parts.clock.now()
                 self._round()
+                took_s = self._parts.clock.now() - began_at
+                pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S + PAUSE_FACTOR * took_s)
 
     def _round(self) -> None:
         parts, ledger = self._parts, self.ledger
         if parts.config.config.version != ledger.config.version:
             ledger.set_config(parts.config.config)
         ledger.expire()
-        ledger.stop_broken_gangs()
-        for run in ledger.find_stalled():
-            run.worker.health.quarantine(parts.clock.now())
-            ledger.stop(run, "its progress stands still")
+        if parts.clock.now() >= self._next_review_at:
+            self._next_review_at = parts.clock.now() + REVIEW_EVERY_S
+            self._review()
         stops, ledger.stops = ledger.stops, []
         for run in stops:
             self._spawn(self._sender.stop(run))
@@ -266,7 +280,13 @@
             plan = self._planner.plan()
         self._carry_out(plan)
         self._journal.notify()
-        ledger.release_final()
+
+    def _review(self) -> None:
+        """Look for runs that hang and gangs that will never be whole."""
+        self.ledger.stop_broken_gangs()
+        for run in self.ledger.find_stalled():
+            run.worker.health.quarantine(self._parts.clock.now())
+            self.ledger.stop(run, "its progress stands still")
 
     def _carry_out(self, plan: Plan) -> None:
         for question in plan.questions:
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass, field
 
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
@@ -43,6 +44,7 @@
     active: dict[int, list[Run]] = field(default_factory=dict)
     advice: StepAdvice = field(default_factory=StepAdvice)
     failed_on: set[str] = field(default_factory=set)
+    remaining_s: float = 0.0
     blocked_since: float | None = None
 
     @property
@@ -117,6 +119,18 @@
     return max(ends, default=0.0)
 
 
+def remaining_s(spec: JobSpec, first: int) -> float:
+    """Return the shortest time in which a job can end from one of its steps on."""
+    ends: dict[int, float] = {}
+    for number, step in enumerate(spec.steps):
+        if number < first:
+            ends[number] = 0.0
+            continue
+        earlier = [ends[index] for index in step.after if index in ends]
+        ends[number] = max(earlier, default=0.0) + step.estimated_ms / 1000
+    return max(ends.values(), default=0.0)
+
+
 ADVICE_WORKERS = 30
 """Workers that callers' expectation of one advice call is based on."""
 
@@ -136,7 +150,8 @@
     spec: JobSpec, queue: Queue, progress: JobProgress | None, now: float, wall_ms: int
 ) -> Job:
     """Return a job with the steps and tasks that are not done."""
-    progress = progress or JobProgress()
+    # The books change their own copy; the fold shows only what is stored.
+    progress = copy.deepcopy(progress) or JobProgress()
     accepted_at = now - (wall_ms - spec.due_ms(0)) / 1000
     expected_s = objective_s(spec, queue)
     job = Job(
@@ -153,5 +168,12 @@
             key = progress_key(occurrence, number)
             stored = progress.steps_by_key.setdefault(key, StepProgress())
             pending = set(range(step.count)) - set(stored.done)
-            job.steps_by_id[step_id] = Step(step_id, job, step, stored, pending)
+            job.steps_by_id[step_id] = Step(
+                step_id,
+                job,
+                step,
+                stored,
+                pending,
+                remaining_s=remaining_s(spec, number),
+            )
     return job
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -167,7 +167,9 @@
 
     def startable(self, step: Step) -> list[int]:
         """Return the tasks of a step that may start; all or none of a gang."""
-        free = [i for i in sorted(step.pending) if not self.assignment_is_open(step, i)]
+        free = sorted(step.pending)
+        if step.progress.assigned_by_index:
+            free = [index for index in free if not self.assignment_is_open(step, index)]
         if step.spec.gang and (step.active or len(free) < step.spec.count):
             return []
         return free
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
@@ -64,6 +64,8 @@
     now: float
     usable: list[Worker]
     urgent_priority: int
+    largest: Resources
+    pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
     blocked: int = 0
@@ -82,7 +84,7 @@
         now = ledger.clock.now()
         usable = [w for w in ledger.workers_by_id.values() if w.usable(now)]
         priorities = [q.priority for q in ledger.config.queues_by_name.values()]
-        round_ = _Round(now, usable, min(priorities, default=0))
+        round_ = _Round(now, usable, min(priorities, default=0), _largest(usable))
         plan = Plan()
         for order, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
@@ -108,15 +110,7 @@
         return waiting
 
     def _consider(self, step: Step, order: Rank, round_: _Round, plan: Plan) -> None:
-        pool = [
-            worker
-            for worker in round_.usable
-            if worker.entry.pool == step.job.queue.pool
-            and (
-                not step.spec.required_label
-                or step.spec.required_label in worker.entry.labels
-            )
-        ]
+        pool = _pool_of(step, round_)
         advised = step.job.queue.advice is not None
         if advised and not self._approved(step, order, pool, round_, plan):
             return
@@ -137,6 +131,7 @@
             not self._fresh(step, run.worker, round_.now) for run in runs
         )
         plan.placements.append(Placement(step, tuple(runs), renew))
+        round_.largest = _largest(round_.usable)
 
     # Advice
 
@@ -190,6 +185,8 @@
         self, step: Step, allowed: list[Worker], round_: _Round
     ) -> list[tuple[int, Worker]]:
         """Return a worker for each task that can start; all or none of a gang."""
+        if not _need_of(step).fits_in(round_.largest):
+            return []
         indexes = self._ledger.startable(step)[: self._allowance(step)]
         if step.spec.gang and len(indexes) < step.spec.count:
             return []
@@ -212,9 +209,7 @@
         round_: _Round,
     ) -> list[tuple[int, Worker]]:
         urgent = step.job.queue.priority <= round_.urgent_priority
-        need = step.spec.need
-        if step.spec.filler:
-            need = Resources(0, need.memory_mib, need.accelerators)
+        need = _need_of(step)
         room_by_worker = {w: self._room(step, w, urgent) for w in allowed}
         taken = {w: w.count_by_step.get(step.step_id, 0) for w in room_by_worker}
         chosen = []
@@ -281,6 +276,36 @@
             plan.questions.append(Question(step, tuple(candidates), order))
 
 
+def _largest(workers: Iterable[Worker]) -> Resources:
+    """Return the largest free amount of each resource on any one worker."""
+    free = [worker.free() for worker in workers]
+    return Resources(
+        max((each.cores for each in free), default=0),
+        max((each.memory_mib for each in free), default=0),
+        max((each.accelerators for each in free), default=0),
+    )
+
+
+def _need_of(step: Step) -> Resources:
+    """Return the room that one task takes; a filler takes no cores."""
+    need = step.spec.need
+    return replace(need, cores=0) if step.spec.filler else need
+
+
+def _pool_of(step: Step, round_: _Round) -> list[Worker]:
+    """Return the usable workers of the step's pool that have its label."""
+    key = (step.job.queue.pool, step.spec.required_label)
+    pool = round_.pools.get(key)
+    if pool is None:
+        pool = round_.pools[key] = [
+            worker
+            for worker in round_.usable
+            if worker.entry.pool == key[0]
+            and (not key[1] or key[1] in worker.entry.labels)
+        ]
+    return pool
+
+
 def life_of(worker: Worker) -> str:
     """Return the key of one life of a worker, for which a ticket is valid."""
     return f"{worker.worker_id}@{worker.entry.born_ms}"
--- a/packages/cell/src/briarrun_cell/ranking.py
+++ b/packages/cell/src/briarrun_cell/ranking.py
@@ -53,21 +53,9 @@
         return cls(frozenset(over))
 
 
-def remaining_s(job: Job, step: Step) -> float:
-    """Return the shortest time in which the job can end from this step on."""
-    ends: dict[int, float] = {}
-    for number, spec in enumerate(job.spec.steps):
-        if number < step.step_id.step:
-            ends[number] = 0.0
-            continue
-        earlier = [ends[index] for index in spec.after if index in ends]
-        ends[number] = max(earlier, default=0.0) + spec.estimated_ms / 1000
-    return max(ends.values(), default=0.0)
-
-
 def prospect(job: Job, step: Step, now: float) -> Prospect:
     """Return whether the job can still be on time if the step starts now."""
-    end = now + remaining_s(job, step)
+    end = now + step.remaining_s
     if end <= job.due_at:
         return Prospect.ON_TIME
     return Prospect.LATE if end <= job.late_at else Prospect.HOPELESS
@@ -112,5 +100,5 @@
         job.queue.priority,
         expected,
         job.spec.customer in shares.over,
-        job.due_at - remaining_s(job, step),
+        job.due_at - step.remaining_s,
     )
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -311,3 +311,28 @@
     ledger.set_workers(entries, [])
     job(ledger, "j1", StepSpec(count=4, need=Resources(1000, 1), estimated_ms=10))
     assert {run.worker.worker_id for run in started(ledger)} == {"w1"}
+
+
+def test_books_leave_the_fold_of_the_stream_as_it_is() -> None:
+    """Guards against outcomes that are shown, and acknowledged, but never stored.
+
+    The books of an inherited job shared its progress with the fold; an end that the
+    holder could not store made the job look finished to its successor in the same
+    process, which acknowledged the end.
+    """
+    ledger = books(1)
+    spec = JobSpec(
+        job_id="j1",
+        terms=NORMAL,
+        customer="c",
+        payload="x",
+        steps=(StepSpec(need=Resources(1000, 10), estimated_ms=1000),),
+        accepted_ms=ledger.clock.wall_ms(),
+    )
+    folded = JobEntry(spec=spec, progress=JobProgress(begun=True))
+    ledger.set_job("j1", folded)
+    (run,) = started(ledger)
+    end = EndReport(1, run.task, run.number, EndKind.DONE, "")
+    look(ledger, run.worker, ended=(end,))
+    assert ledger.jobs_by_id["j1"].progress.final is JobState.COMPLETED
+    assert folded.progress == JobProgress(begun=True)
