Split reports from the books, keep one PartLog, drop unused settings

Change: reports.py takes workers' reports into the books; no behaviour changes. Ruled out: nothing. Measured: tests of the cell and the adapter pass before and after.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -16,6 +16,7 @@
 from briarrun_cell.ledger import LeaseTerms, Ledger
 from briarrun_cell.logs import PartLog
 from briarrun_cell.metrics import Metrics
+from briarrun_cell.model import JobSpec
 from briarrun_cell.nodes import EntryVm
 from briarrun_cell.orders import OrderSender, TenureGuard, WorkerDriver
 from briarrun_cell.planner import Placement, Plan, Planner, Question, life_of
@@ -128,7 +129,7 @@
         self._planner = Planner(self.ledger)
         self._desk = AdviceDesk(parts.clock, parts.vms, parts.proxy, self.wake)
 
-    def _spec_of(self, job_id: str) -> Any:
+    def _spec_of(self, job_id: str) -> JobSpec | None:
         entry = self._parts.table.by_id.get(job_id)
         return None if entry is None else entry.spec
 
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -7,16 +7,12 @@
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.job_table import JobEntry
-from briarrun_cell.jobs import GANG, Job, Step, job_from
+from briarrun_cell.jobs import Job, Step, job_from
 from briarrun_cell.logs import PartLog
 from briarrun_cell.model import (
     CellConfig,
-    EndKind,
-    EndReport,
-    Inventory,
     JobSpec,
     JobState,
-    RunReport,
     TaskId,
     WorkerEntry,
 )
@@ -31,9 +27,6 @@
 STALL_S = 2.0
 """A run whose progress stands still for this long is taken to hang."""
 
-MISSING_LOOKS = 2
-"""A run that this many inventories in a row do not list is taken to be gone."""
-
 _LOG = PartLog("holder")
 
 
@@ -65,7 +58,7 @@
         self.epoch = epoch
         self.config = config
         self.terms = terms
-        self._spec_of = spec_of
+        self.spec_of = spec_of
         self.workers_by_id: dict[str, Worker] = {}
         self.jobs_by_id: dict[str, Job] = {}
         self.usage_by_customer: dict[str, Resources] = {}
@@ -129,8 +122,8 @@
             runs=len(worker.runs_by_id),
         )
         for run in list(worker.runs_by_id.values()):
-            self._drop_run(run)
-            self._requeue(run.task, run.checkpoint)
+            self.drop_run(run)
+            self.requeue(run.task, run.checkpoint)
         self.on_resolved(worker)
         self.forget_worker(worker)
 
@@ -147,8 +140,8 @@
                         run=run.number,
                         worker=worker.worker_id,
                     )
-                    self._drop_run(run)
-                    self._requeue(run.task, run.checkpoint)
+                    self.drop_run(run)
+                    self.requeue(run.task, run.checkpoint)
                 self.on_resolved(worker)
             if not worker.listed and not worker.runs_by_id and worker.resolved:
                 self.forget_worker(worker)
@@ -239,9 +232,10 @@
     def _cancel(self, job: Job) -> None:
         job.cancelled = True
         if not job.final:
-            self._finish(job, JobState.CANCELLED)
+            self.finish(job, JobState.CANCELLED)
 
-    def _finish(self, job: Job, state: JobState) -> None:
+    def finish(self, job: Job, state: JobState) -> None:
+        """Decide a job's outcome and stop what still runs of it."""
         job.settle(state, self.clock.wall_ms())
         self.dirty.add(job.job_id)
         _LOG.info("a job is final", job=job.job_id, state=state)
@@ -255,19 +249,20 @@
     def place(self, step: Step, index: int, worker: Worker) -> Run:
         """Charge a run that is about to be ordered."""
         self._next_run += 1
-        return self._charge(step, index, worker, self._next_run, RunState.PLANNED)
+        return self.charge(step, index, worker, self._next_run, RunState.PLANNED)
 
     def place_gang(self, step: Step, workers: list[Worker]) -> list[Run]:
         """Charge all members of a gang under one run number."""
         self._next_run += 1
         return [
-            self._charge(step, index, worker, self._next_run, RunState.PLANNED)
+            self.charge(step, index, worker, self._next_run, RunState.PLANNED)
             for index, worker in enumerate(workers)
         ]
 
-    def _charge(
+    def charge(
         self, step: Step, index: int, worker: Worker, number: int, state: RunState
     ) -> Run:
+        """Enter a run and occupy its room."""
         need = step.spec.need
         if step.spec.filler:
             need = replace(need, cores=0)
@@ -291,7 +286,7 @@
         self.usage_by_customer[run.customer] = used + run.charge
         return run
 
-    def _drop_run(self, run: Run) -> None:
+    def drop_run(self, run: Run) -> None:
         """Free what a run occupies."""
         if (run.task, run.number) not in run.worker.runs_by_id:
             return
@@ -313,7 +308,7 @@
         job = self.jobs_by_id.get(task.job_id)
         return None if job is None else job.steps_by_id.get(task.step_id)
 
-    def _requeue(self, task: TaskId, checkpoint: str) -> None:
+    def requeue(self, task: TaskId, checkpoint: str) -> None:
         """Put a task back if nothing else runs it and its job goes on."""
         step = self.step_of(task)
         if step is None or step.job.final or not 0 <= task.ordinal < step.spec.count:
@@ -326,8 +321,8 @@
 
     def withdraw(self, run: Run) -> None:
         """Free a run that was certainly never started."""
-        self._drop_run(run)
-        self._requeue(run.task, "")
+        self.drop_run(run)
+        self.requeue(run.task, "")
 
     def stop(self, run: Run, reason: str) -> None:
         """Mark a run to be stopped; it stays charged until its end is known."""
@@ -350,197 +345,15 @@
             run.percent_at = now
         job = self.jobs_by_id.get(run.task.job_id)
         if job is not None:
-            self._note_begun(job)
+            self.note_begun(job)
 
-    def _note_begun(self, job: Job) -> None:
+    def note_begun(self, job: Job) -> None:
+        """Note that a task of the job has started."""
         if not job.progress.begun:
             job.progress.begun = True
             job.first_start_at = self.clock.now()
             self.dirty.add(job.job_id)
 
-    # Reports of workers
-
-    def on_inventory(
-        self, worker: Worker, inventory: Inventory, asked_at: float
-    ) -> bool:
-        """Take over a worker's inventory; return whether it listed new ends."""
-        now = self.clock.now()
-        if worker.dead:
-            return False
-        worker.contact_at = now
-        worker.clock_ms, worker.clock_at = inventory.clock_ms, now
-        news = False
-        for end in inventory.ended:
-            if end.number > worker.applied:
-                worker.applied = end.number
-                self._on_end(worker, end)
-                news = True
-        listed = {(report.task, report.run): report for report in inventory.running}
-        for key, report in listed.items():
-            run = worker.runs_by_id.get(key)
-            if run is None:
-                self._adopt(worker, report)
-            else:
-                self._refresh(run, report, now)
-        for key, run in list(worker.runs_by_id.items()):
-            if key not in listed:
-                self._check_missing(run, inventory, asked_at)
-        self.on_resolved(worker)
-        return news
-
-    def _refresh(self, run: Run, report: RunReport, now: float) -> None:
-        run.missing_looks = 0
-        if run.state is RunState.STARTING:
-            self.on_started(run)
-        if report.checkpoint:
-            run.checkpoint = report.checkpoint
-        if report.percent != run.percent:
-            step = self.step_of(run.task)
-            gained = report.percent - run.percent
-            if step is not None and not step.spec.service and gained > 0:
-                run.worker.health.on_progress(
-                    now - run.percent_at, step.spec.estimated_ms / 1000 * gained / 100
-                )
-            run.percent, run.percent_at = report.percent, now
-
-    def _adopt(self, worker: Worker, report: RunReport) -> None:
-        """Enter a run of an earlier holder, or one that was started late."""
-        task = report.task
-        step = self.step_of(task)
-        valid = step is not None and 0 <= task.ordinal < step.spec.count
-        if step is None or not valid:
-            spec = self._spec_of(task.job_id)
-            need = NOTHING
-            if spec is not None and task.step < len(spec.steps):
-                need = spec.steps[task.step].need
-            stray = Run(
-                task,
-                report.run,
-                worker,
-                spec.customer if spec is not None else "",
-                need,
-                need,
-                RunState.RUNNING,
-                self.clock.now(),
-            )
-            worker.charge(stray)
-            used = self.usage_by_customer.get(stray.customer, NOTHING)
-            self.usage_by_customer[stray.customer] = used + need
-            self.stop(stray, "the task is not wanted")
-            return
-        others = [run for run in step.active.get(task.ordinal, [])]
-        run = self._charge(step, task.ordinal, worker, report.run, RunState.RUNNING)
-        run.answered_at = self.clock.now()
-        run.checkpoint = report.checkpoint or run.checkpoint
-        run.percent = report.percent
-        self._note_begun(step.job)
-        if step.job.final or task.ordinal in step.progress.done:
-            self.stop(run, "the task is not wanted")
-        elif others and not step.spec.duplicates_allowed:
-            self.stop(run, "the task runs elsewhere")
-        elif step.spec.gang and any(
-            other.number != report.run for other in step.runs()
-        ):
-            self.stop(run, "the gang has another run")
-
-    def _check_missing(self, run: Run, inventory: Inventory, asked_at: float) -> None:
-        """Settle a run that an inventory does not list and whose end is not listed."""
-        if run.state is RunState.PLANNED:
-            return
-        if run.state is RunState.STARTING:
-            if inventory.clock_ms > run.order_until_ms > 0:
-                self.withdraw(run)
-            return
-        if run.answered_at is None or asked_at < run.answered_at:
-            return
-        run.missing_looks += 1
-        if run.missing_looks >= MISSING_LOOKS or run.state is RunState.STOPPING:
-            self._drop_run(run)
-            self._requeue(run.task, run.checkpoint)
-
-    def _on_end(self, worker: Worker, end: EndReport) -> None:
-        now = self.clock.now()
-        run = worker.runs_by_id.get((end.task, end.run))
-        if run is not None:
-            self._drop_run(run)
-        _LOG.info(
-            "a run ended",
-            job=end.task.job_id,
-            task=end.task,
-            run=end.run,
-            worker=worker.worker_id,
-            how=end.kind,
-        )
-        step = self.step_of(end.task)
-        if step is None or not 0 <= end.task.ordinal < step.spec.count:
-            return
-        self._judge(worker, step, run, end.kind, now)
-        if end.kind is EndKind.DONE and not step.spec.service:
-            self._on_done(step, end)
-        elif end.kind is EndKind.FAILED and not step.spec.service:
-            self._on_failed(worker, step, end)
-        if end.checkpoint and step.spec.gang:
-            for index in range(step.spec.count):
-                step.progress.checkpoints_by_index[index] = end.checkpoint
-        self._requeue(end.task, "" if step.spec.gang else end.checkpoint)
-        if step.spec.gang and not step.job.final and not step.done:
-            self._requeue_gang(step)
-        self.dirty.add(end.task.job_id)
-
-    def _requeue_gang(self, step: Step) -> None:
-        if not step.active:
-            step.pending = set(range(step.spec.count))
-            for index in step.pending:
-                first = step.progress.checkpoints_by_index.get(0, "")
-                if first:
-                    step.progress.checkpoints_by_index[index] = first
-
-    def _judge(
-        self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
-    ) -> None:
-        if kind is EndKind.DONE and run is not None:
-            if not run.checkpoint:
-                worker.health.on_done(now - run.since, step.spec.estimated_ms / 1000)
-        elif kind is EndKind.FAILED:
-            worker.health.on_failed(now)
-            step.failed_on.add(worker.worker_id)
-
-    def _on_done(self, step: Step, end: EndReport) -> None:
-        done = set(step.progress.done)
-        done |= set(range(step.spec.count)) if step.spec.gang else {end.task.ordinal}
-        step.progress.done = sorted(done)
-        for index in done:
-            step.progress.assigned_by_index.pop(index, None)
-        step.pending -= done
-        step.progress.checkpoints_by_index = {
-            index: saved
-            for index, saved in step.progress.checkpoints_by_index.items()
-            if index not in done
-        }
-        if not step.spec.gang:
-            for other in list(step.active.get(end.task.ordinal, [])):
-                self.stop(other, "another copy is done")
-        job = step.job
-        if not job.final and all(each.done for each in job.steps_by_id.values()):
-            self._finish(job, JobState.COMPLETED)
-
-    def _on_failed(self, worker: Worker, step: Step, end: EndReport) -> None:
-        index = GANG if step.spec.gang else end.task.ordinal
-        failed_runs = step.progress.failed_runs_by_index.setdefault(index, [])
-        if end.run in failed_runs:
-            return
-        failed_runs.append(end.run)
-        attempts = len(failed_runs)
-        if attempts >= step.job.queue.max_attempts and not step.job.final:
-            _LOG.warning(
-                "a task failed for the last time",
-                job=end.task.job_id,
-                task=end.task,
-                attempts=attempts,
-                worker=worker.worker_id,
-            )
-            self._finish(step.job, JobState.FAILED)
-
     def find_stalled(self) -> list[Run]:
         """Return runs whose progress stands still though their worker answers."""
         now = self.clock.now()
--- a/packages/cell/src/briarrun_cell/logs.py
+++ b/packages/cell/src/briarrun_cell/logs.py
@@ -21,20 +21,26 @@
 _PARTS = frozenset(
     [
         "advice",
+        "authority",
         "config",
+        "drain",
         "front",
         "holder",
         "jobs",
+        "log",
         "main",
+        "membership",
         "registry",
+        "replication",
         "store",
+        "upstream",
         "worker",
     ]
 )
 
 
 class PartLog:
-    """Write the log lines of one part of the daemon."""
+    """Write the log lines of one part of a process."""
 
     def __init__(self, part: str) -> None:
         if part not in _PARTS:
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -12,6 +12,7 @@
 from briarrun_cell.logs import PartLog
 from briarrun_cell.planner import life_of
 from briarrun_cell.ports import OrderOutcome, StartOrder, Workers
+from briarrun_cell.reports import Reports
 from briarrun_cell.workers import CLOCK_DRIFT, Run, RunState, Worker
 
 ORDER_TIMEOUT_S = 0.4
@@ -212,6 +213,7 @@
         self._worker = worker
         self._workers = workers
         self._ledger = ledger
+        self._reports = Reports(ledger)
         self._journal = journal
         self._clock = clock
         self._guard = guard
@@ -264,7 +266,7 @@
         if born_ms and worker.entry.born_ms != born_ms:
             self._guard.on_reborn(worker, born_ms)
             return False
-        news = ledger.on_inventory(worker, answer.inventory, asked_at)
+        news = self._reports.on_inventory(worker, answer.inventory, asked_at)
         if first:
             ledger.expire()
         if news or first:
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/reports.py
@@ -0,0 +1,211 @@
+"""Take workers' reports into the holder's books: inventories and ends."""
+
+from __future__ import annotations
+
+from briarrun_cell.jobs import GANG, Step
+from briarrun_cell.ledger import Ledger
+from briarrun_cell.logs import PartLog
+from briarrun_cell.model import (
+    EndKind,
+    EndReport,
+    Inventory,
+    JobState,
+    RunReport,
+)
+from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_core.resources import NOTHING
+
+MISSING_LOOKS = 2
+"""A run that this many inventories in a row do not list is taken to be gone."""
+
+_LOG = PartLog("holder")
+
+
+class Reports:
+    """Compare what workers report with the books, and settle the differences."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+
+    def on_inventory(
+        self, worker: Worker, inventory: Inventory, asked_at: float
+    ) -> bool:
+        """Take over a worker's inventory; return whether it listed new ends."""
+        now = self._ledger.clock.now()
+        if worker.dead:
+            return False
+        worker.contact_at = now
+        worker.clock_ms, worker.clock_at = inventory.clock_ms, now
+        news = False
+        for end in inventory.ended:
+            if end.number > worker.applied:
+                worker.applied = end.number
+                self._on_end(worker, end)
+                news = True
+        listed = {(report.task, report.run): report for report in inventory.running}
+        for key, report in listed.items():
+            run = worker.runs_by_id.get(key)
+            if run is None:
+                self._adopt(worker, report)
+            else:
+                self._refresh(run, report, now)
+        for key, run in list(worker.runs_by_id.items()):
+            if key not in listed:
+                self._check_missing(run, inventory, asked_at)
+        self._ledger.on_resolved(worker)
+        return news
+
+    def _refresh(self, run: Run, report: RunReport, now: float) -> None:
+        run.missing_looks = 0
+        if run.state is RunState.STARTING:
+            self._ledger.on_started(run)
+        if report.checkpoint:
+            run.checkpoint = report.checkpoint
+        if report.percent != run.percent:
+            step = self._ledger.step_of(run.task)
+            gained = report.percent - run.percent
+            if step is not None and not step.spec.service and gained > 0:
+                run.worker.health.on_progress(
+                    now - run.percent_at, step.spec.estimated_ms / 1000 * gained / 100
+                )
+            run.percent, run.percent_at = report.percent, now
+
+    def _adopt(self, worker: Worker, report: RunReport) -> None:
+        """Enter a run of an earlier holder, or one that was started late."""
+        task = report.task
+        step = self._ledger.step_of(task)
+        valid = step is not None and 0 <= task.ordinal < step.spec.count
+        if step is None or not valid:
+            spec = self._ledger.spec_of(task.job_id)
+            need = NOTHING
+            if spec is not None and task.step < len(spec.steps):
+                need = spec.steps[task.step].need
+            stray = Run(
+                task,
+                report.run,
+                worker,
+                spec.customer if spec is not None else "",
+                need,
+                need,
+                RunState.RUNNING,
+                self._ledger.clock.now(),
+            )
+            worker.charge(stray)
+            used = self._ledger.usage_by_customer.get(stray.customer, NOTHING)
+            self._ledger.usage_by_customer[stray.customer] = used + need
+            self._ledger.stop(stray, "the task is not wanted")
+            return
+        others = [run for run in step.active.get(task.ordinal, [])]
+        run = self._ledger.charge(
+            step, task.ordinal, worker, report.run, RunState.RUNNING
+        )
+        run.answered_at = self._ledger.clock.now()
+        run.checkpoint = report.checkpoint or run.checkpoint
+        run.percent = report.percent
+        self._ledger.note_begun(step.job)
+        if step.job.final or task.ordinal in step.progress.done:
+            self._ledger.stop(run, "the task is not wanted")
+        elif others and not step.spec.duplicates_allowed:
+            self._ledger.stop(run, "the task runs elsewhere")
+        elif step.spec.gang and any(
+            other.number != report.run for other in step.runs()
+        ):
+            self._ledger.stop(run, "the gang has another run")
+
+    def _check_missing(self, run: Run, inventory: Inventory, asked_at: float) -> None:
+        """Settle a run that an inventory does not list and whose end is not listed."""
+        if run.state is RunState.PLANNED:
+            return
+        if run.state is RunState.STARTING:
+            if inventory.clock_ms > run.order_until_ms > 0:
+                self._ledger.withdraw(run)
+            return
+        if run.answered_at is None or asked_at < run.answered_at:
+            return
+        run.missing_looks += 1
+        if run.missing_looks >= MISSING_LOOKS or run.state is RunState.STOPPING:
+            self._ledger.drop_run(run)
+            self._ledger.requeue(run.task, run.checkpoint)
+
+    def _on_end(self, worker: Worker, end: EndReport) -> None:
+        now = self._ledger.clock.now()
+        run = worker.runs_by_id.get((end.task, end.run))
+        if run is not None:
+            self._ledger.drop_run(run)
+        _LOG.info(
+            "a run ended",
+            job=end.task.job_id,
+            task=end.task,
+            run=end.run,
+            worker=worker.worker_id,
+            how=end.kind,
+        )
+        step = self._ledger.step_of(end.task)
+        if step is None or not 0 <= end.task.ordinal < step.spec.count:
+            return
+        self._judge(worker, step, run, end.kind, now)
+        if end.kind is EndKind.DONE and not step.spec.service:
+            self._on_done(step, end)
+        elif end.kind is EndKind.FAILED and not step.spec.service:
+            self._on_failed(worker, step, end)
+        if end.checkpoint and step.spec.gang:
+            for index in range(step.spec.count):
+                step.progress.checkpoints_by_index[index] = end.checkpoint
+        self._ledger.requeue(end.task, "" if step.spec.gang else end.checkpoint)
+        if step.spec.gang and not step.job.final and not step.done:
+            self._requeue_gang(step)
+        self._ledger.dirty.add(end.task.job_id)
+
+    def _requeue_gang(self, step: Step) -> None:
+        if not step.active:
+            step.pending = set(range(step.spec.count))
+            for index in step.pending:
+                first = step.progress.checkpoints_by_index.get(0, "")
+                if first:
+                    step.progress.checkpoints_by_index[index] = first
+
+    def _judge(
+        self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
+    ) -> None:
+        if kind is EndKind.DONE and run is not None:
+            if not run.checkpoint:
+                worker.health.on_done(now - run.since, step.spec.estimated_ms / 1000)
+        elif kind is EndKind.FAILED:
+            worker.health.on_failed(now)
+            step.failed_on.add(worker.worker_id)
+
+    def _on_done(self, step: Step, end: EndReport) -> None:
+        done = set(step.progress.done)
+        done |= set(range(step.spec.count)) if step.spec.gang else {end.task.ordinal}
+        step.progress.done = sorted(done)
+        for index in done:
+            step.progress.assigned_by_index.pop(index, None)
+        step.pending -= done
+        step.progress.checkpoints_by_index = {
+            index: saved
+            for index, saved in step.progress.checkpoints_by_index.items()
+            if index not in done
+        }
+        if not step.spec.gang:
+            for other in list(step.active.get(end.task.ordinal, [])):
+                self._ledger.stop(other, "another copy is done")
+        job = step.job
+        if not job.final and all(each.done for each in job.steps_by_id.values()):
+            self._ledger.finish(job, JobState.COMPLETED)
+
+    def _on_failed(self, worker: Worker, step: Step, end: EndReport) -> None:
+        index = GANG if step.spec.gang else end.task.ordinal
+        failed_runs = step.progress.failed_runs_by_index.setdefault(index, [])
+        if end.run in failed_runs:
+            return
+        failed_runs.append(end.run)
+        attempts = len(failed_runs)
+        if attempts >= step.job.queue.max_attempts and not step.job.final:
+            _LOG.warning(
+                "a task failed for the last time",
+                job=end.task.job_id,
+                task=end.task,
+                attempts=attempts,
+                worker=worker.worker_id,
+            )
+            self._ledger.finish(step.job, JobState.FAILED)
--- a/packages/cell/src/briarrun_cell/settings.py
+++ b/packages/cell/src/briarrun_cell/settings.py
@@ -21,15 +21,10 @@
     peer_address: str
     store_address: str
     advice_address: str
-    machines_address: str
-    heartbeat_s: float
     max_config_age_s: float
     max_lease_s: float
-    stop_timeout_s: float
-    drain_s: float
     grace_s: float
     keep_final_s: float
-    far_factor: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/briarrun_daemon/logs.py
+++ b/packages/daemon/src/briarrun_daemon/logs.py
@@ -1,4 +1,4 @@
-"""Structured log lines: short sentences with a fixed prefix per part."""
+"""Structured log lines of the daemon, one JSON object each."""
 
 from __future__ import annotations
 
@@ -8,49 +8,9 @@
 
 import eliot
 
-_PREFIXES = frozenset(
-    {
-        "authority",
-        "config",
-        "drain",
-        "front",
-        "holder",
-        "log",
-        "main",
-        "membership",
-        "replication",
-        "upstream",
-        "worker",
-    }
-)
+from briarrun_cell.logs import PartLog
 
-
-class PartLog:
-    """Write the log lines of one part."""
-
-    def __init__(self, part: str) -> None:
-        if part not in _PREFIXES:
-            raise ValueError(f"unknown log part {part!r}")
-        self._part = part
-
-    def info(self, sentence: str, **fields: Any) -> None:
-        """Report a change of state."""
-        self._write("info", sentence, fields)
-
-    def warning(self, sentence: str, **fields: Any) -> None:
-        """Report a fault that the daemon copes with."""
-        self._write("warning", sentence, fields)
-
-    def error(self, sentence: str, **fields: Any) -> None:
-        """Report a fault that needs an operator."""
-        self._write("error", sentence, fields)
-
-    def _write(self, level: str, sentence: str, fields: dict[str, Any]) -> None:
-        eliot.log_message(
-            message_type=f"{self._part}:{level}",
-            message=f"{self._part}: {sentence}",
-            **fields,
-        )
+__all__ = ["PartLog", "start_logging"]
 
 
 def start_logging(instance: str, stream: TextIO = sys.stderr) -> None:
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -26,6 +26,7 @@
 from briarrun_cell.planner import Planner
 from briarrun_cell.ports import StartOrder, WorkerAnswer, Workers
 from briarrun_cell.records import JobProgress
+from briarrun_cell.reports import Reports
 from briarrun_cell.workers import Run, RunState, Worker
 from briarrun_core.resources import Resources
 
@@ -76,7 +77,7 @@
     ended: tuple[EndReport, ...] = (),
 ) -> None:
     inventory = Inventory(1_000, worker.entry.born_ms, running, ended)
-    ledger.on_inventory(worker, inventory, ledger.clock.now())
+    Reports(ledger).on_inventory(worker, inventory, ledger.clock.now())
 
 
 def job(
@@ -174,7 +175,7 @@
     ((run,),) = [each.runs for each in Planner(ledger).plan().placements]
     run.state, run.order_until_ms = RunState.STARTING, 4_000
     inventory = Inventory(clock_ms, 1, (), ())
-    ledger.on_inventory(run.worker, inventory, ledger.clock.now())
+    Reports(ledger).on_inventory(run.worker, inventory, ledger.clock.now())
     assert bool(run.worker.runs_by_id) is charged
 
 
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -254,15 +254,10 @@
             peer_address=f"{name}:1",
             store_address="",
             advice_address="",
-            machines_address="",
-            heartbeat_s=1.5,
             max_config_age_s=4.4,
             max_lease_s=6.0,
-            stop_timeout_s=0.4,
-            drain_s=2.5,
             grace_s=6.0,
             keep_final_s=120.0,
-            far_factor=1.5,
         )
         vm.core = CellCore(
             settings,
