--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -26,6 +26,10 @@
 RESERVING_GANGS = 2
 """Gangs at the head of the order for which less urgent work leaves room."""
 
+RESERVATION_S = 6.0
+"""Time for which a gang keeps less urgent work from its workers; without a bound, one
+gang that finds no room would stop all work behind it."""
+
 FRESH_GANGS = 3
 """Waiting gangs at the head of the order whose tickets are kept fresh."""
 
@@ -247,8 +251,14 @@
             step.blocked_since = round_.now
         if not step.spec.gang or self._allowance(step) < step.spec.count:
             return
-        candidates = [w for w in pool if self._allowed(step, w)] or pool
-        if lesser and round_.reserving < RESERVING_GANGS:
+        candidates = pool
+        if step.job.queue.advice is not None:
+            candidates = [w for w in pool if self._allowed(step, w)]
+        if not _could_hold(step, candidates):
+            return
+        waited_s = round_.now - step.blocked_since
+        patient = waited_s <= RESERVATION_S
+        if lesser and patient and round_.reserving < RESERVING_GANGS:
             round_.reserving += 1
             round_.reserved.update(w.worker_id for w in candidates)
         self._keep_fresh(step, order, candidates, round_, plan)
@@ -292,6 +302,27 @@
     return replace(need, cores=0) if step.spec.filler else need
 
 
+def _could_hold(step: Step, workers: Iterable[Worker]) -> bool:
+    """Tell whether the workers could hold a whole gang if they were empty."""
+    need, places = _need_of(step), 0
+    for worker in workers:
+        capacity = worker.entry.capacity
+        fitting = [
+            available // amount
+            for available, amount in (
+                (capacity.cores, need.cores),
+                (capacity.memory_mib, need.memory_mib),
+                (capacity.accelerators, need.accelerators),
+            )
+            if amount
+        ]
+        most = min(fitting, default=step.spec.count)
+        if step.spec.max_per_worker:
+            most = min(most, step.spec.max_per_worker)
+        places += most
+    return places >= step.spec.count
+
+
 def _pool_of(step: Step, round_: _Round) -> list[Worker]:
     """Return the usable workers of the step's pool that have its label."""
     key = (step.job.queue.pool, step.spec.required_label)
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -10,6 +10,7 @@
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.ledger import LeaseTerms, Ledger
 from briarrun_cell.model import (
+    AdviceTerms,
     CellConfig,
     Customer,
     EndKind,
@@ -337,3 +338,58 @@
     look(ledger, run.worker, ended=(end,))
     assert ledger.jobs_by_id["j1"].progress.final is JobState.COMPLETED
     assert folded.progress == JobProgress(begun=True)
+
+
+@pytest.mark.parametrize("advised", [False, True], ids=["too large", "none approved"])
+def test_gang_that_can_never_fit_holds_up_no_other_work(advised: bool) -> None:
+    """Guards against work that starves behind a gang without room.
+
+    Load: a gang wider than all the workers that may run it, before less urgent work.
+    """
+    ledger = books(2)
+    terms = AdviceTerms(decision_s=0.01, per_worker_s=0.0, validity_s=2.0)
+    first = Queue(
+        name="first",
+        host="h",
+        path_prefix="/f/",
+        pool="p",
+        priority=1,
+        max_attempts=2,
+        advice=terms if advised else None,
+    )
+    behind = Queue(name="behind", host="h", path_prefix="/b/", pool="p", priority=2)
+    ledger.config.queues_by_name.update({"first": first, "behind": behind})
+    job(
+        ledger,
+        "wide",
+        StepSpec(count=9, need=Resources(4000, 1), gang=True),
+        queue=first,
+    )
+    step = next(iter(ledger.jobs_by_id["wide"].steps_by_id.values()))
+    step.advice.known = advised
+    step.advice.asked = frozenset({"w0@1", "w1@1"})
+    job(ledger, "small", queue=behind)
+    assert {run.task.job_id for run in started(ledger)} == {"small"}
+
+
+def test_gang_that_waits_long_lets_other_work_pass() -> None:
+    """Guards against work that starves behind a gang that would fit an empty cell."""
+    ledger = books(2)
+    assert isinstance(ledger.clock, ManualClock)
+    first = Queue(name="first", host="h", path_prefix="/f/", pool="p", priority=1)
+    behind = Queue(name="behind", host="h", path_prefix="/b/", pool="p", priority=2)
+    ledger.config.queues_by_name.update({"first": first, "behind": behind})
+    job(ledger, "busy", StepSpec(count=1, need=Resources(4000, 1)), queue=URGENT)
+    assert len(started(ledger)) == 1
+    job(
+        ledger,
+        "wide",
+        StepSpec(count=4, need=Resources(4000, 1), gang=True),
+        queue=first,
+    )
+    job(ledger, "small", queue=behind)
+    assert started(ledger) == []
+    ledger.clock.time += 7.0
+    for worker in ledger.workers_by_id.values():
+        worker.contact_at = ledger.clock.now()
+    assert {run.task.job_id for run in started(ledger)} == {"small"}
