--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -80,6 +80,9 @@
 MAX_CLAIMS_PACE_S = 0.6
 """Longest pause between reads of the claims."""
 
+CLAIMS_PATIENCE_S = 0.1
+"""Longest wait for claims that may have been written since the last read."""
+
 LARGE_VM_CORES = 1.0
 """A VM with fewer cores leaves the cell to a larger one, if there is any."""
 
@@ -187,7 +190,19 @@
             self.incarnation,
             self.holder,
             rng=random.Random(self.incarnation),
+            confirm=self._confirm_claims,
+        )
+        self._claims_tail = TopicTail(
+            store, Topic.HOLDER, self.election, clock, wait_s=SLOW_WAIT_S
         )
+        self._vms.on_change = self._pace_claims
+
+    async def _confirm_claims(self) -> None:
+        await self._claims_tail.refresh(CLAIMS_PATIENCE_S)
+
+    def _pace_claims(self, vms: int) -> None:
+        pace_s = min(MAX_CLAIMS_PACE_S, CLAIMS_PACE_PER_VM_S * vms)
+        self._claims_tail.pace_s = pace_s
 
     def _advice_vms(self) -> list[EntryVm]:
         """Return the VMs that may ask for advice, this one first."""
@@ -224,19 +239,11 @@
 
     def _follow_topics(self) -> None:
         store, clock = self._store, self._clock
-        holder_tail = TopicTail(
-            store, Topic.HOLDER, self.election, clock, wait_s=SLOW_WAIT_S
-        )
-
-        def pace_claims(vms: int) -> None:
-            holder_tail.pace_s = min(MAX_CLAIMS_PACE_S, CLAIMS_PACE_PER_VM_S * vms)
-
-        self._vms.on_change = pace_claims
         vms_tail = TopicTail(store, Topic.VMS, self._vms, clock, wait_s=SLOW_WAIT_S)
         for name, tail in (
             ("config", self._config_tail),
             ("jobs", self._jobs_tail),
-            ("holder", holder_tail),
+            ("holder", self._claims_tail),
             ("registry", self._registry_tail),
             ("vms", vms_tail),
         ):
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -15,19 +15,29 @@
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
 from briarrun_cell.tail import TopicReader
 
-TERM_S = 0.9
-"""A holder's claim is good for this long after it was sent."""
+MAX_TERM_S = 0.9
+"""Longest time for which a claim is good, counted from when it was sent."""
 
-RENEWAL_S = 0.25
-"""Pause between renewals of a claim."""
+MIN_TERM_S = 0.45
+"""Shortest such time; the shorter it is, the sooner a lost holder is replaced."""
 
-MARGIN_S = 0.12
+TERM_ROUND_TRIPS = 4.0
+"""Round trips to the store by which a term is longer than its base."""
+
+TERM_BASE_S = 0.35
+"""Term of a claim if the store answered at once."""
+
+RENEWAL_S = 0.1
+"""Pause between renewals of a claim; within the shortest term it leaves a renewal
+0.25 s for its answer, as long as a slow store takes."""
+
+MARGIN_S = 0.08
 """A holder stops this long before its term ends, for orders on their way."""
 
 APPEND_TIMEOUT_S = 0.5
 """Time after which a claim counts as unanswered."""
 
-CLAIM_SPREAD_S = 0.12
+CLAIM_SPREAD_S = 0.06
 """Candidates wait up to this long beyond the term, so that rarely two claim at once."""
 
 POLL_S = 0.03
@@ -40,13 +50,17 @@
 
 
 class Claim(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Claim the cell; ``epoch`` of 0 stands for the record's own offset plus one."""
+    """Claim the cell; ``epoch`` of 0 stands for the record's own offset plus one.
+
+    ``term_s`` is for how long the claim is good.
+    """
 
     vm: str
     address: str
     incarnation: str
     epoch: int = 0
     released: bool = False
+    term_s: float = MAX_TERM_S
 
 
 @dataclass(slots=True)
@@ -73,7 +87,9 @@
     """Claim the cell when nobody holds it, and keep the claim.
 
     A candidate counts the term from when it saw the last claim, which is later than the
-    holder's own count from the time of sending. So two holders never overlap.
+    holder's own count from the time of sending. So two holders never overlap. ``confirm``
+    reads the claims that may have been written since; it spares a candidate that reads
+    them rarely a claim that would be refused.
     """
 
     def __init__(
@@ -87,6 +103,7 @@
         *,
         handicap_s: float = 0.0,
         rng: random.Random | None = None,
+        confirm: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -95,6 +112,7 @@
         self._incarnation = incarnation
         self._role = role
         self._rng = rng or random.Random()
+        self._confirm = confirm
         self.handicap_s = handicap_s
         self.candidate = True
         self.tenure: Tenure | None = None
@@ -103,6 +121,7 @@
         self._seen_at = 0.0
         self._spread_s = 0.0
         self._renewal_pause_s = RENEWAL_S
+        self._round_trip_s = MAX_TERM_S
 
     @property
     def holds(self) -> bool:
@@ -147,19 +166,24 @@
             # An earlier process of this VM is dead, and an own claim whose answer
             # was lost may be claimed again.
             return True
-        return waited_s >= TERM_S + wait_s
+        return waited_s >= self._last.term_s + wait_s
 
     async def run(self) -> None:
         """Claim, renew and give up until cancelled."""
         while True:
             if self.tenure is None:
-                if self.candidate and self._vacant():
+                if self.candidate and self._vacant() and await self._still_vacant():
                     await self._claim()
                 else:
                     await asyncio.sleep(POLL_S)
             else:
                 await self._renew(self.tenure)
 
+    async def _still_vacant(self) -> bool:
+        if self._confirm is not None:
+            await self._confirm()
+        return self._vacant()
+
     async def release(self) -> None:
         """Give the cell up, so that the next holder need not wait."""
         self.candidate = False
@@ -176,6 +200,10 @@
             incarnation=self._incarnation,
             epoch=epoch,
             released=released,
+            term_s=min(
+                MAX_TERM_S,
+                max(MIN_TERM_S, TERM_BASE_S + TERM_ROUND_TRIPS * self._round_trip_s),
+            ),
         )
 
     async def _append(self, claim: Claim) -> tuple[AppendOutcome, int, float]:
@@ -187,6 +215,7 @@
             timeout_s=APPEND_TIMEOUT_S,
             at=at,
         )
+        self._round_trip_s = self._clock.now() - sent_at
         if result.outcome is AppendOutcome.DONE:
             self._end = max(self._end or 0, result.offset + 1)
             self._last = claim
@@ -194,11 +223,12 @@
         return result.outcome, result.offset, sent_at
 
     async def _claim(self) -> None:
-        outcome, offset, sent_at = await self._append(self._own(epoch=0))
+        claim = self._own(epoch=0)
+        outcome, offset, sent_at = await self._append(claim)
         if outcome is not AppendOutcome.DONE:
             await asyncio.sleep(POLL_S)
             return
-        tenure = Tenure(offset + 1, sent_at + TERM_S - MARGIN_S)
+        tenure = Tenure(offset + 1, sent_at + claim.term_s - MARGIN_S)
         if self._clock.now() >= tenure.valid_until or not self.candidate:
             return
         self.tenure = tenure
@@ -212,13 +242,17 @@
         if self._last is not None and self._last.incarnation != self._incarnation:
             await self._lose(f"{self._last.vm} took over", superseded=True)
             return
-        outcome, _, sent_at = await self._append(self._own(tenure.epoch))
+        claim = self._own(tenure.epoch)
+        # Candidates may read the claim before its answer comes, and count its term.
+        claimed_until = self._clock.now() + claim.term_s - MARGIN_S
+        tenure.valid_until = min(tenure.valid_until, claimed_until)
+        outcome = (await self._append(claim))[0]
         if self.tenure is not tenure:
             return
         done = outcome is AppendOutcome.DONE
         self._renewal_pause_s = RENEWAL_S if done else POLL_S
         if done:
-            tenure.valid_until = max(tenure.valid_until, sent_at + TERM_S - MARGIN_S)
+            tenure.valid_until = claimed_until
         if self._clock.now() >= tenure.valid_until:
             await self._lose(f"the term ended; last renewal: {outcome}")
 
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from briarrun_cell.election import MAX_TERM_S, Claim
 from briarrun_cell.front import Verdict
 from briarrun_cell.model import JobSpec, JobState
 from briarrun_cell.ports import Topic
@@ -371,3 +373,39 @@
 def _repeated(cell: FakeCell) -> set[str]:
     """Return the jobs that some caller was told neither way, so that they may run."""
     return {record.key[2:] for record in cell.store.values(Topic.JOBS)}
+
+
+def _last_claim(cell: FakeCell) -> Claim:
+    value = cell.store.values(Topic.HOLDER)[-1].value
+    assert value is not None
+    return msgspec.json.decode(value, type=Claim)
+
+
+@pytest.mark.parametrize("seed", range(6))
+@with_cell()
+async def test_claim_with_a_shorter_term_ends_the_longer_one(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against two holders after a claim that shortened the term.
+
+    Claims have the longest term while the store is slow; candidates that read the first
+    one afterwards count its shorter term.
+    """
+    cell.store.faults.slow_factor = 50.0
+    await asyncio.sleep(2.0 + cell.rng.random())
+    holder = await cell.wait_for_holder()
+    assert _last_claim(cell).term_s == MAX_TERM_S
+    cell.store.faults.slow_factor = 1.0
+    while _last_claim(cell).term_s == MAX_TERM_S:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.01)
+    holder.store.cut = True
+    for _ in range(400):
+        holding = [
+            name
+            for name, vm in cell.vms_by_name.items()
+            if vm.core is not None and vm.core.election.holds
+        ]
+        assert len(holding) <= 1
+        await asyncio.sleep(0.005)
+    assert holding
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -88,6 +88,7 @@
         self.limits_by_customer: dict[str, Resources] = {}
         self.violations: list[str] = []
         self.done_noted: set[TaskId] = set()
+        self.done: set[TaskId] = set()
         self.starts = 0
         self.stops = 0
         self.first_start_by_job: dict[str, float] = {}
@@ -117,7 +118,8 @@
         born_ms = worker.entry.born_ms + 1
         return self.add(replace(worker.entry, born_ms=born_ms))
 
-    def _report(self, text: str) -> None:
+    def report(self, text: str) -> None:
+        """Note a broken promise."""
         self.violations.append(f"{self.now():.3f}: {text}")
 
     def _clock_ms(self, worker: FakeWorker) -> int:
@@ -255,7 +257,7 @@
         self._extend(worker, order.lease_until_ms)
         spec = self.specs_by_id.get(order.task.job_id)
         if spec is None:
-            self._report(f"{order.task} was started but never submitted")
+            self.report(f"{order.task} was started but never submitted")
             return OrderOutcome.REJECTED
         step = spec.steps[order.task.step]
         self._check_start(worker, order, spec)
@@ -285,12 +287,12 @@
         for run in worker.runs_by_id.values():
             used = used + run.need
         if not (used + step.need).fits_in(worker.entry.capacity):
-            self._report(f"{worker.entry.worker_id} is overcommitted by {task}")
+            self.report(f"{worker.entry.worker_id} is overcommitted by {task}")
         if task in self.done_noted and not step.duplicates_allowed:
-            self._report(f"{task} was started after it was done")
+            self.report(f"{task} was started after it was done")
         cancelled_at = self.cancelled_at.get(task.job_id)
         if cancelled_at is not None and self.now() > cancelled_at + 3.0:
-            self._report(f"{task} was started after its job was cancelled")
+            self.report(f"{task} was started after its job was cancelled")
         total, in_use = step.need, NOTHING
         for other in self.workers_by_address.values():
             if other.dead:
@@ -298,7 +300,7 @@
             for run in other.runs_by_id.values():
                 same = run.task == task and not step.duplicates_allowed
                 if same:
-                    self._report(f"{task} runs twice")
+                    self.report(f"{task} runs twice")
                 owner = self.specs_by_id[run.task.job_id].customer
                 if owner == spec.customer:
                     in_use = in_use + run.need
@@ -307,7 +309,7 @@
         if limit is not None and (
             0 < limit.cores < running.cores or 0 < limit.memory_mib < running.memory_mib
         ):
-            self._report(f"{spec.customer} is above its limit")
+            self.report(f"{spec.customer} is above its limit")
 
     def _gather_gang(self, worker: FakeWorker, started: _Run, count: int) -> None:
         step, number = started.task.step_id, started.number
@@ -360,6 +362,8 @@
         worker.ended.append(EndReport(worker.count, run.task, run.number, kind, ""))
         worker.news.set()
         step = self.specs_by_id[run.task.job_id].steps[run.task.step]
+        if kind is EndKind.DONE:
+            self.done.add(run.task)
         if step.gang and kind is not EndKind.DONE:
             self._break_gang(run)
 
--- a/tools/emulator/cell/store.py
+++ b/tools/emulator/cell/store.py
@@ -61,6 +61,11 @@
         held = self._topics[topic]
         held.first = len(held.records)
 
+    @property
+    def topics(self) -> list[Topic]:
+        """Return the topics that the store holds."""
+        return list(self._topics)
+
     def values(self, topic: Topic) -> list[Record]:
         """Return all records ever written."""
         return list(self._topics[topic].records)
