Keep the details of progress in a topic of their own; write ended runs in one line a round

Change: the job stream holds acceptance, cancellation and what callers are shown; assignments, attempts and checkpoints go to a topic that only a new holder reads; the steps of ended jobs leave the stream after 20 s. An outcome counts if either topic has it. Ended runs are logged in one line a round (400 ends a second dropped log lines). Six appends of submissions at a time instead of two.

--- a/packages/cell/src/briarrun_cell/accepting.py
+++ b/packages/cell/src/briarrun_cell/accepting.py
@@ -38,13 +38,15 @@
 
 
 class RecordWriter:
-    """Append records in batches, two at a time, and tell each writer the outcome.
+    """Append records in batches, several at a time, and tell each writer the outcome.
 
     A record that may have been stored is sent again until an answer proves it, since a
     repeat changes nothing. It is never reported as not stored.
     """
 
-    LANES = 2
+    LANES = 6
+    """Appends under way at a time; with fewer, a record waits for another one's answer
+    while the store is slow."""
 
     def __init__(
         self, store: Store, clock: Clock, last_answer_at: Callable[[], float]
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -201,11 +201,14 @@
     async def _run(self) -> None:
         parts, ledger = self._parts, self.ledger
         end = await self._journal.fence()
+        ledger.inherited_by_id = await self._journal.inherit()
         await parts.jobs_tail.reach(end)
         await parts.config.known()
         ledger.set_config(parts.config.config)
         for job_id, entry in _by_age(parts.table):
             ledger.set_job(job_id, entry)
+        self._journal.drop(ledger.inherited_by_id)
+        ledger.inherited_by_id = {}
         parts.table.listeners.append(self._on_job)
         parts.registry.on_change = self._on_registry
         self._on_registry()
@@ -271,6 +274,7 @@
         parts, ledger = self._parts, self.ledger
         if parts.config.config.version != ledger.config.version:
             ledger.set_config(parts.config.config)
+        self._log_ends()
         ledger.expire()
         if parts.clock.now() >= self._next_review_at:
             self._next_review_at = parts.clock.now() + REVIEW_EVERY_S
@@ -283,6 +287,24 @@
         self._carry_out(plan)
         self._journal.notify()
 
+    def _log_ends(self) -> None:
+        """Report the runs that ended since the last round, in one line."""
+        ended, self.ledger.ended = self.ledger.ended, []
+        if ended:
+            _LOG.info(
+                "runs ended",
+                ends=[
+                    {
+                        "job": end.task.job_id,
+                        "task": end.task[1:],
+                        "run": end.run,
+                        "worker": worker_id,
+                        "how": end.kind,
+                    }
+                    for worker_id, end in ended
+                ],
+            )
+
     def _review(self) -> None:
         """Look for runs that hang, gangs that will never be whole, and leftovers."""
         self.ledger.stop_broken_gangs()
--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -20,7 +20,10 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """Hold what the stream says of one job; parts may arrive in any order."""
+    """Hold what the stream says of one job; parts may arrive in any order.
+
+    Some time after its end the spec has no steps any more.
+    """
 
     spec: JobSpec | None = None
     cancelled: bool = False
@@ -94,7 +97,8 @@
         entry = self.by_id.setdefault(job_id, JobEntry())
         if isinstance(content, JobSpec):
             # A repeated submission must not change the job that was accepted first.
-            entry.spec = entry.spec or content
+            if entry.spec is None or not content.steps:
+                entry.spec = content
         elif isinstance(content, Cancellation):
             entry.cancelled = True
         else:
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -19,6 +19,7 @@
     CONFIG = "config"
     WORKERS = "workers"
     JOBS = "jobs"
+    PROGRESS = "progress"
     HOLDER = "holder"
     VMS = "vms"
 
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.model import JobSpec, JobState, Queue
 from briarrun_cell.ports import Record
 
 _JOB = "j/"
@@ -16,8 +16,9 @@
     """Hold what is durable of one occurrence of a step.
 
     ``assigned_by_index`` names the worker of each task that was or is to be started; it
-    is stored before the start is ordered. ``failed_runs_by_index`` names the failed runs, so that an end which two holders
-    read counts once; those of a gang stand under -1.
+    is stored before the start is ordered. ``failed_runs_by_index`` names the failed
+    runs, so that an end which two holders read counts once; those of a gang stand under
+    -1.
     """
 
     done: list[int] = []
@@ -62,6 +63,33 @@
     return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
 
 
+def progress_dropped(job_id: str) -> Record:
+    """Return the record that drops a job's progress."""
+    return Record(_PROGRESS + job_id, None)
+
+
+def shown(progress: JobProgress) -> JobProgress:
+    """Return the part of a progress that callers are shown."""
+    return JobProgress(
+        begun=progress.begun, final=progress.final, final_ms=progress.final_ms
+    )
+
+
+def shrunk(spec: JobSpec) -> Record:
+    """Return the record of an ended job, without what only its runs needed."""
+    terms = Queue(name=spec.queue, host="", path_prefix="", pool="")
+    return accepted(
+        JobSpec(
+            job_id=spec.job_id,
+            terms=terms,
+            customer=spec.customer,
+            payload="",
+            steps=(),
+            accepted_ms=spec.accepted_ms,
+        )
+    )
+
+
 def forgotten(job_id: str) -> list[Record]:
     """Return the records that drop all keys of a job."""
     return [Record(prefix + job_id, None) for prefix in (_JOB, _CANCEL, _PROGRESS)]
--- a/packages/cell/src/briarrun_cell/reports.py
+++ b/packages/cell/src/briarrun_cell/reports.py
@@ -132,14 +132,7 @@
         run = worker.runs_by_id.get((end.task, end.run))
         if run is not None:
             self._ledger.drop_run(run)
-        _LOG.info(
-            "a run ended",
-            job=end.task.job_id,
-            task=end.task,
-            run=end.run,
-            worker=worker.worker_id,
-            how=end.kind,
-        )
+        self._ledger.ended.append((worker.worker_id, end))
         step = self._ledger.step_of(end.task)
         if step is None or not 0 <= end.task.ordinal < step.spec.count:
             return
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import msgspec
 import pytest
 
 from briarrun_cell.election import MAX_TERM_S, Claim
 from briarrun_cell.front import Verdict
+from briarrun_cell.holder import FORGET_EVERY_S
+from briarrun_cell.journal import SHRINK_AFTER_S
 from briarrun_cell.model import JobSpec, JobState
 from briarrun_cell.ports import Topic
+from briarrun_cell.records import JobProgress, decode
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
 
@@ -103,6 +107,16 @@
     assert await cell.finished(cell.accepted, 40.0) == set()
 
 
+def _stored_progress(cell: FakeCell, job_id: str) -> JobProgress | None:
+    """Return what the store holds of a job's progress, whatever a VM has read."""
+    newest = None
+    for record in cell.store.values(Topic.PROGRESS):
+        found, content = decode(record)
+        if found == job_id and isinstance(content, JobProgress):
+            newest = content
+    return newest
+
+
 @pytest.mark.parametrize("seed", range(4))
 @with_cell(max_attempts=2)
 async def test_failed_end_read_by_two_holders_counts_once(
@@ -115,9 +129,7 @@
     await asyncio.sleep(0.32)
     holder = await cell.wait_for_holder()
     for _ in range(200):
-        progress = (
-            holder.core.table.by_id[spec.job_id].progress if holder.core else None
-        )
+        progress = _stored_progress(cell, spec.job_id)
         if progress and progress.steps_by_key["0.0"].failed_runs_by_index:
             break
         await asyncio.sleep(0.002)
@@ -409,3 +421,51 @@
         assert len(holding) <= 1
         await asyncio.sleep(0.005)
     assert holding
+
+
+@pytest.mark.parametrize("seed", range(4))
+@with_cell()
+async def test_outcome_that_was_stored_but_not_shown(cell: FakeCell, seed: int) -> None:
+    """Guards against a job that runs again because only its details were stored.
+
+    The holder dies after its details and before what callers are shown is stored.
+    """
+    spec = cell.spec(step(1, 300))
+    await cell.submit(spec)
+    holder = await cell.wait_for_holder()
+    append = holder.store.append
+
+    async def lose_outcomes(topic: Topic, batch: Any, **options: Any) -> Any:
+        if topic is Topic.JOBS and any(b'"final"' in (r.value or b"") for r in batch):
+            await asyncio.Event().wait()
+        return await append(topic, batch, **options)
+
+    holder.store.append = lose_outcomes  # type: ignore[assignment]
+    while True:
+        progress = _stored_progress(cell, spec.job_id)
+        if progress is not None and progress.final is not None:
+            break
+        await asyncio.sleep(0.002)
+    cell.kill_vm(holder.name)
+    assert await cell.finished({spec.job_id}, 10.0) == set()
+    assert cell.fleet.starts == 1
+
+
+@with_cell()
+async def test_steps_of_ended_jobs_leave_the_stream(cell: FakeCell) -> None:
+    """Guards against VMs that load the steps and payloads of every ended job."""
+    specs = [cell.spec(step(2, 100)) for _ in range(5)]
+    for spec in specs:
+        await cell.submit(spec)
+    assert await cell.finished(cell.accepted, 10.0) == set()
+    await asyncio.sleep(SHRINK_AFTER_S + 2 * FORGET_EVERY_S)
+    newest = cell.store.newest(Topic.JOBS).records
+    kept = [content for _, content in map(decode, newest)]
+    assert all(not each.steps for each in kept if isinstance(each, JobSpec))
+    assert cell.store.newest(Topic.PROGRESS).records == ()
+    for spec in specs:
+        assert await cell.state(spec.job_id) is JobState.COMPLETED
+        again = await cell.submit(spec)
+        assert again.verdict is Verdict.ACCEPTED
+    await asyncio.sleep(1.0)
+    assert cell.fleet.starts == 10
