--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -191,12 +191,16 @@
             self.holder,
             rng=random.Random(self.incarnation),
             confirm=self._confirm_claims,
+            eligible=self._knows_jobs,
         )
         self._claims_tail = TopicTail(
             store, Topic.HOLDER, self.election, clock, wait_s=SLOW_WAIT_S
         )
         self._vms.on_change = self._pace_claims
 
+    def _knows_jobs(self) -> bool:
+        return self._jobs_tail.age_s() <= READY_VIEW_AGE_S
+
     async def _confirm_claims(self) -> None:
         await self._claims_tail.refresh(CLAIMS_PATIENCE_S)
 
@@ -220,7 +224,7 @@
             self.config.loaded
             and not self.front.store_is_silent
             and self._config_tail.age_s() <= READY_CONFIG_AGE_S
-            and self._jobs_tail.age_s() <= READY_VIEW_AGE_S
+            and self._knows_jobs()
         )
 
     def start(self) -> None:
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -89,7 +89,8 @@
     A candidate counts the term from when it saw the last claim, which is later than the
     holder's own count from the time of sending. So two holders never overlap. ``confirm``
     reads the claims that may have been written since; it spares a candidate that reads
-    them rarely a claim that would be refused.
+    them rarely a claim that would be refused. ``eligible`` tells whether this process
+    could act for the cell at once.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         handicap_s: float = 0.0,
         rng: random.Random | None = None,
         confirm: Callable[[], Awaitable[None]] | None = None,
+        eligible: Callable[[], bool] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -113,6 +115,7 @@
         self._role = role
         self._rng = rng or random.Random()
         self._confirm = confirm
+        self._eligible = eligible
         self.handicap_s = handicap_s
         self.candidate = True
         self.tenure: Tenure | None = None
@@ -172,17 +175,21 @@
         """Claim, renew and give up until cancelled."""
         while True:
             if self.tenure is None:
-                if self.candidate and self._vacant() and await self._still_vacant():
+                if self._may_claim() and await self._still_vacant():
                     await self._claim()
                 else:
                     await asyncio.sleep(POLL_S)
             else:
                 await self._renew(self.tenure)
 
+    def _may_claim(self) -> bool:
+        ready = self._eligible is None or self._eligible()
+        return self.candidate and ready and self._vacant()
+
     async def _still_vacant(self) -> bool:
         if self._confirm is not None:
             await self._confirm()
-        return self._vacant()
+        return self._may_claim()
 
     async def release(self) -> None:
         """Give the cell up, so that the next holder need not wait."""
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -44,7 +44,7 @@
 CARETAKING_S = 6.0
 """Time for which a holder that cannot renew its claim keeps the leases of runs."""
 
-FORGET_EVERY_S = 10.0
+FORGET_EVERY_S = 5.0
 """Pause between searches for jobs that may be forgotten."""
 
 _LOG = PartLog("holder")
@@ -201,14 +201,11 @@
     async def _run(self) -> None:
         parts, ledger = self._parts, self.ledger
         end = await self._journal.fence()
-        ledger.inherited_by_id = await self._journal.inherit()
         await parts.jobs_tail.reach(end)
         await parts.config.known()
         ledger.set_config(parts.config.config)
         for job_id, entry in _by_age(parts.table):
             ledger.set_job(job_id, entry)
-        self._journal.drop(ledger.inherited_by_id)
-        ledger.inherited_by_id = {}
         parts.table.listeners.append(self._on_job)
         parts.registry.on_change = self._on_registry
         self._on_registry()
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -18,7 +18,6 @@
     WorkerEntry,
 )
 from briarrun_cell.ranking import RateMeter
-from briarrun_cell.records import JobProgress
 from briarrun_cell.workers import Run, RunState, Worker
 from briarrun_core.resources import NOTHING, Resources
 
@@ -48,7 +47,7 @@
     """Keep the books of one tenure.
 
     ``stops`` collects runs that must be stopped, ``ended`` those that workers reported
-    as ended, each with its worker, and ``dirty`` jobs whose progress must be stored. ``inherited_by_id`` is the progress that earlier holders stored.
+    as ended, each with its worker, and ``dirty`` jobs whose progress must be stored.
     """
 
     def __init__(
@@ -70,7 +69,6 @@
         self.stops: list[Run] = []
         self.ended: list[tuple[str, EndReport]] = []
         self.dirty: set[str] = set()
-        self.inherited_by_id: dict[str, JobProgress] = {}
         self.began_at = clock.now()
         self._next_run = epoch << RUN_BITS
         self._rates = RateMeter()
@@ -212,15 +210,12 @@
             job = job_from(
                 entry.spec,
                 queue or entry.spec.terms,
-                self.inherited_by_id.pop(job_id, None) or entry.progress,
+                entry.progress,
                 self.clock.now(),
                 self.clock.wall_ms(),
             )
             job.excess = self._exceeds(job)
             self.jobs_by_id[job_id] = job
-            if job.final:
-                # The earlier holder did not live to show the outcome.
-                self.dirty.add(job_id)
         if job is not None and entry.cancelled and not job.cancelled:
             self._cancel(job)
 
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -19,7 +19,6 @@
     CONFIG = "config"
     WORKERS = "workers"
     JOBS = "jobs"
-    PROGRESS = "progress"
     HOLDER = "holder"
     VMS = "vms"
 
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -59,20 +59,15 @@
 
 
 def progressed(job_id: str, progress: JobProgress) -> Record:
-    """Return the record of a job's progress, which replaces the last one."""
-    return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
-
-
-def progress_dropped(job_id: str) -> Record:
-    """Return the record that drops a job's progress."""
-    return Record(_PROGRESS + job_id, None)
-
+    """Return the record of a job's progress, which replaces the last one.
 
-def shown(progress: JobProgress) -> JobProgress:
-    """Return the part of a progress that callers are shown."""
-    return JobProgress(
-        begun=progress.begun, final=progress.final, final_ms=progress.final_ms
-    )
+    Of an ended job only the outcome is kept.
+    """
+    if progress.final is not None:
+        progress = JobProgress(
+            begun=progress.begun, final=progress.final, final_ms=progress.final_ms
+        )
+    return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
 
 
 def shrunk(spec: JobSpec) -> Record:
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -22,6 +22,10 @@
 ANSWER_TIMEOUT_S = 0.8
 """Time beyond the requested wait after which a read counts as lost."""
 
+LOAD_TIMEOUT_S = 3.0
+"""Time after which a page of newest records counts as lost; a page of 1 MB takes 0.8 s
+on a link of 10 Mbit/s, which several VMs may need at the same time."""
+
 ROUND_TRIP_S = 0.03
 """A read that has been open for longer is held by the store, which has nothing new."""
 
@@ -124,7 +128,7 @@
 
     async def _load(self) -> None:
         asked_at = self._clock.now()
-        result = await self._store.newest(self._topic, timeout_s=ANSWER_TIMEOUT_S)
+        result = await self._store.newest(self._topic, timeout_s=LOAD_TIMEOUT_S)
         self._reader.on_snapshot(result.records, asked_at)
         self._advance(result.end, asked_at)
 
