--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SETUP := $(READY)
 endif
 
-.PHONY: setup format check test demo fleet faults bench capacity progress
+.PHONY: setup format check test demo fleet faults bench capacity progress soak
 
 setup: $(SETUP)
 
@@ -49,3 +49,10 @@
 
 progress: setup
 	$(BIN)/python -m tools.progress
+
+# One seed by default; SEED, RUNS and DURATION (seconds) choose others.
+SEED ?= 1
+RUNS ?= 1
+DURATION ?= 20
+soak: setup
+	$(BIN)/python -m tools.soak --seed $(SEED) --runs $(RUNS) --duration $(DURATION)
--- a/packages/cell/src/briarrun_cell/fenced.py
+++ b/packages/cell/src/briarrun_cell/fenced.py
@@ -21,7 +21,11 @@
 
 
 class FencedTopic:
-    """Append batches in order, one at a time, each until it is stored."""
+    """Append batches in the order of the calls, each until it is stored.
+
+    Calls may overlap: the store takes a batch only after the one before it, and refuses
+    it until then.
+    """
 
     def __init__(
         self, store: Store, topic: Topic, epoch: int, on_fenced: Callable[[], None]
@@ -34,27 +38,28 @@
 
     async def fence(self) -> int:
         """Shut out earlier holders; return the end of the topic."""
-        return await self._append_until_stored([])
+        return await self._append_until_stored([], self._sequence)
 
     async def append(self, batch: Sequence[Record]) -> None:
         """Store records; an empty batch costs no call."""
         if batch:
-            await self._append_until_stored(batch)
+            sequence = self._sequence
             self._sequence += 1
+            await self._append_until_stored(batch, sequence)
 
-    async def _append_until_stored(self, batch: Sequence[Record]) -> int:
+    async def _append_until_stored(self, batch: Sequence[Record], sequence: int) -> int:
         while True:
-            end = await self._append(batch)
+            end = await self._append(batch, sequence)
             if end is not None:
                 return end
             await asyncio.sleep(RETRY_S)
 
-    async def _append(self, batch: Sequence[Record]) -> int | None:
+    async def _append(self, batch: Sequence[Record], sequence: int) -> int | None:
         result = await self._store.append(
             self._topic,
             batch,
             timeout_s=APPEND_TIMEOUT_S,
-            producer=ProducerMark(PRODUCER, self._epoch, self._sequence),
+            producer=ProducerMark(PRODUCER, self._epoch, sequence),
         )
         if result.outcome is AppendOutcome.DONE:
             return result.end
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run short soaks of the real program."""
