Revert overlapping appends; one append of submissions at a time

A slow store takes the appends of a topic one after the other, 60 ms each, and turns appends away once 2 s of them wait. Six submissions and four of progress under way per VM filled that queue; lost answers were repeated and filled it further. Ruled out: the cell's room (398 of 768 cores in use when starts ended) and advice. Change: overlapping appends of progress are taken back; each VM has one append of submissions under way, and waits 0.75 s for it.

--- a/packages/cell/src/briarrun_cell/accepting.py
+++ b/packages/cell/src/briarrun_cell/accepting.py
@@ -10,8 +10,9 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
 
-APPEND_TIMEOUT_S = 0.6
-"""Time after which an append counts as unanswered and is sent again."""
+APPEND_TIMEOUT_S = 0.75
+"""Time after which an append counts as unanswered and is sent again; a slow store needs
+half a second for one append of each VM."""
 
 RETRY_S = 0.05
 """Pause before a refused append is sent again."""
@@ -38,16 +39,15 @@
 
 
 class RecordWriter:
-    """Append records in batches, several at a time, and tell each writer the outcome.
+    """Append records in batches, one at a time, and tell each writer the outcome.
+
+    Answers the load in which the store is slow: it takes the appends of a topic one
+    after the other, so that fewer and larger ones keep its queue short.
 
     A record that may have been stored is sent again until an answer proves it, since a
     repeat changes nothing. It is never reported as not stored.
     """
 
-    LANES = 6
-    """Appends under way at a time; with fewer, a record waits for another one's answer
-    while the store is slow."""
-
     def __init__(
         self, store: Store, clock: Clock, last_answer_at: Callable[[], float]
     ) -> None:
@@ -79,9 +79,6 @@
 
     async def run(self) -> None:
         """Serve writers until cancelled."""
-        await asyncio.gather(*(self._serve() for _ in range(self.LANES)))
-
-    async def _serve(self) -> None:
         while True:
             while not self._queue:
                 self._wake.clear()
--- a/packages/cell/src/briarrun_cell/fenced.py
+++ b/packages/cell/src/briarrun_cell/fenced.py
@@ -21,11 +21,7 @@
 
 
 class FencedTopic:
-    """Append batches in the order of the calls, each until it is stored.
-
-    Calls may overlap: the store takes a batch only after the one before it, and refuses
-    it until then.
-    """
+    """Append batches in order, one at a time, each until it is stored."""
 
     def __init__(
         self, store: Store, topic: Topic, epoch: int, on_fenced: Callable[[], None]
@@ -38,28 +34,27 @@
 
     async def fence(self) -> int:
         """Shut out earlier holders; return the end of the topic."""
-        return await self._append_until_stored([], self._sequence)
+        return await self._append_until_stored([])
 
     async def append(self, batch: Sequence[Record]) -> None:
         """Store records; an empty batch costs no call."""
         if batch:
-            sequence = self._sequence
+            await self._append_until_stored(batch)
             self._sequence += 1
-            await self._append_until_stored(batch, sequence)
 
-    async def _append_until_stored(self, batch: Sequence[Record], sequence: int) -> int:
+    async def _append_until_stored(self, batch: Sequence[Record]) -> int:
         while True:
-            end = await self._append(batch, sequence)
+            end = await self._append(batch)
             if end is not None:
                 return end
             await asyncio.sleep(RETRY_S)
 
-    async def _append(self, batch: Sequence[Record], sequence: int) -> int | None:
+    async def _append(self, batch: Sequence[Record]) -> int | None:
         result = await self._store.append(
             self._topic,
             batch,
             timeout_s=APPEND_TIMEOUT_S,
-            producer=ProducerMark(PRODUCER, self._epoch, sequence),
+            producer=ProducerMark(PRODUCER, self._epoch, self._sequence),
         )
         if result.outcome is AppendOutcome.DONE:
             return result.end
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from briarrun_cell import records
 from briarrun_cell.clock import Clock
@@ -14,7 +13,6 @@
 from briarrun_cell.logs import PartLog
 from briarrun_cell.model import JobState
 from briarrun_cell.ports import Record, Store, Topic
-from briarrun_cell.workers import Worker
 
 GATHER_S = 0.008
 """Time in which progress is gathered into one append."""
@@ -22,9 +20,6 @@
 MAX_BATCH = 400
 """Jobs whose progress one append holds."""
 
-MAX_APPENDS = 4
-"""Appends under way at a time; the store answers a repeat of its last five."""
-
 SHRINK_AFTER_S = 10.0
 """Time after a job's end after which its steps are dropped from the job stream; no run
 of it can have a lease any more."""
@@ -32,17 +27,8 @@
 _LOG = PartLog("holder")
 
 
-@dataclass(slots=True)
-class _Batch:
-    """Hold records to store, the ends they make durable and who waits for them."""
-
-    records: list[Record]
-    acknowledging: list[tuple[Worker, int]] = field(default_factory=list)
-    waiters: list[asyncio.Future[None]] = field(default_factory=list)
-
-
 class Journal:
-    """Append the progress of jobs in order."""
+    """Append the progress of jobs in order, one append at a time."""
 
     def __init__(
         self,
@@ -92,53 +78,42 @@
             return
 
     async def run(self) -> None:
-        """Store progress until cancelled; appends overlap while the store is slow."""
-        async with asyncio.TaskGroup() as group:
-            under_way = asyncio.Semaphore(MAX_APPENDS)
-            last: asyncio.Task[None] | None = None
-            while True:
-                await self._wake.wait()
-                await asyncio.sleep(GATHER_S)
-                await under_way.acquire()
-                self._wake.clear()
-                last = group.create_task(self._flush(self._gather(), last))
-                last.add_done_callback(lambda _: under_way.release())
-                if self._ledger.dirty or self._flush_waiters:
-                    self._wake.set()
-
-    def _gather(self) -> _Batch:
-        """Take what is to be stored now."""
+        """Store progress until cancelled."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(GATHER_S)
+            self._wake.clear()
+            await self._flush()
+            if self._ledger.dirty or self._flush_waiters:
+                self._wake.set()
+
+    async def _flush(self) -> None:
         ledger = self._ledger
+        waiters, self._flush_waiters = self._flush_waiters, []
+        acknowledging = [
+            (worker, worker.applied) for worker in ledger.workers_by_id.values()
+        ]
         job_ids = sorted(ledger.dirty)[:MAX_BATCH]
-        whole = len(job_ids) == len(ledger.dirty)
+        if len(job_ids) < len(ledger.dirty):
+            acknowledging = []
+            self._flush_waiters = waiters + self._flush_waiters
+            waiters = []
         ledger.dirty.difference_update(job_ids)
-        batch = _Batch(
+        await self._jobs.append(
             [
                 records.progressed(job_id, ledger.jobs_by_id[job_id].progress)
                 for job_id in job_ids
                 if job_id in ledger.jobs_by_id
             ]
         )
-        if whole:
-            batch.acknowledging = [
-                (worker, worker.applied) for worker in ledger.workers_by_id.values()
-            ]
-            batch.waiters, self._flush_waiters = self._flush_waiters, []
-        return batch
-
-    async def _flush(self, batch: _Batch, earlier: asyncio.Task[None] | None) -> None:
-        """Store a batch; what depends on it waits for every earlier batch too."""
-        await self._jobs.append(batch.records)
-        if earlier is not None:
-            await earlier
-        for worker, number in batch.acknowledging:
+        for worker, number in acknowledging:
             worker.acknowledged = max(worker.acknowledged, number)
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
-        for waiter in batch.waiters:
+        for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
-        self._ledger.release_final()
+        ledger.release_final()
 
     async def forget_old(self) -> None:
         """Drop jobs that callers may not ask for any more, and the steps of ended ones."""
