--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -134,11 +134,13 @@
 
     async def _follow(self, start: int) -> None:
         asked_at = self._asked_at = self._clock.now()
+        # After an outage the age of what is known matters, so nothing is waited for.
+        wait_s = self._wait_s if self._available else 0.0
         result = await self._store.read(
             self._topic,
             start,
-            wait_s=self._wait_s,
-            timeout_s=self._wait_s + ANSWER_TIMEOUT_S,
+            wait_s=wait_s,
+            timeout_s=wait_s + ANSWER_TIMEOUT_S,
         )
         following = start + len(result.records)
         if result.records:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -22,6 +22,9 @@
 TAKEOVER_BOUND_S = 1.5
 """Stated target: time from the loss of one holder to the next first start."""
 
+BACK_BOUND_S = 0.3
+"""Stated target: time from the store's return until every VM serves."""
+
 RESTART_BOUND_S = 3.0
 """Stated target: time from the restart of all VMs to the next first start."""
 
@@ -464,3 +467,22 @@
         cell.kill_vm(holder.name)
         await asyncio.sleep(2.0)
         cell.start_vm(holder.name)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@with_cell()
+async def test_vm_serves_soon_after_the_store_is_back(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against requests refused because a read after an outage waits for news."""
+    cell.store.faults.down = True
+    await asyncio.sleep(6.0 + cell.rng.random())
+    cell.store.faults.down = False
+    await asyncio.sleep(BACK_BOUND_S)
+    for name in cell.vms_by_name:
+        reply = await cell.submit(cell.spec(), name)
+        assert reply.verdict is Verdict.ACCEPTED
+        core = cell.vms_by_name[name].core
+        assert core is not None
+        assert core.current
+        assert core.front.config_is_current
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -54,6 +54,11 @@
     await asyncio.gather(*(_kill(vm, 0.1 + rng.random()) for vm in vms))
 
 
+async def kill_holder(world: World, rng: random.Random) -> None:
+    """End the process that acts for the cell."""
+    await _kill(world.holder() or _vm(world, rng), 0.1 + 1.5 * rng.random())
+
+
 async def stop_vm(world: World, rng: random.Random) -> None:
     """Stop one process gracefully and start it again."""
     vm = _vm(world, rng)
@@ -67,7 +72,15 @@
 
 async def pause_vm(world: World, rng: random.Random) -> None:
     """Suspend one process for a while."""
-    vm = _vm(world, rng)
+    await _pause(_vm(world, rng), rng)
+
+
+async def pause_holder(world: World, rng: random.Random) -> None:
+    """Suspend the process that acts for the cell."""
+    await _pause(world.holder() or _vm(world, rng), rng)
+
+
+async def _pause(vm: SoakVm, rng: random.Random) -> None:
     child = vm.child
     if child is None or not child.is_running:
         return
@@ -89,10 +102,18 @@
     """Reset one VM's connections to the store, and each new one."""
     vm = _vm(world, rng)
     vm.relay.cut()
-    await asyncio.sleep(0.5 + 3 * rng.random())
+    await asyncio.sleep(0.5 + 8 * rng.random())
     vm.relay.resume()
 
 
+async def refuse_holder(world: World, rng: random.Random) -> None:
+    """Let the store turn away the VM that acts for the cell."""
+    vm = world.holder() or _vm(world, rng)
+    vm.view.refused = True
+    await asyncio.sleep(0.5 + 4 * rng.random())
+    vm.view.refused = False
+
+
 async def silence_store(world: World, rng: random.Random) -> None:
     """Let one VM's open connections to the store go silent; new ones work."""
     _vm(world, rng).relay.silence_open_connections()
@@ -102,7 +123,7 @@
     """Hold back everything between one VM and the store."""
     vm = _vm(world, rng)
     vm.relay.stall()
-    await asyncio.sleep(0.5 + 3 * rng.random())
+    await asyncio.sleep(0.5 + 8 * rng.random())
     vm.relay.resume()
 
 
@@ -110,7 +131,7 @@
     """Let the store turn one VM away."""
     vm = _vm(world, rng)
     vm.view.refused = True
-    await asyncio.sleep(0.5 + 4 * rng.random())
+    await asyncio.sleep(0.5 + 8 * rng.random())
     vm.view.refused = False
 
 
@@ -222,7 +243,10 @@
 
 FAULTS: tuple[Fault, ...] = (
     kill_vm,
-    kill_vm,
+    kill_holder,
+    kill_holder,
+    pause_holder,
+    refuse_holder,
     kill_all_vms,
     stop_vm,
     stop_vm,
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -65,7 +65,7 @@
     vms: int = 3
     workers: int = 6
     callers: int = 6
-    faults_per_s: float = 0.8
+    faults_per_s: float = 1.2
 
 
 @dataclass(eq=False)
@@ -285,6 +285,13 @@
         self.publish()
         self.withdrawn_at_by_key[old] = asyncio.get_running_loop().time()
 
+    def holder(self) -> SoakVm | None:
+        """Return the VM whose claim was stored last."""
+        claims = self.store.values(Topic.HOLDER)
+        if not claims or claims[-1].value is None:
+            return None
+        return self.vms_by_name.get(json.loads(claims[-1].value)["vm"])
+
     async def stop(self) -> None:
         """End every process that was started here, and every stand-in."""
         children = [vm.child for vm in self.vms_by_name.values() if vm.child]
