--- a/packages/cell/src/briarrun_cell/fenced.py
+++ b/packages/cell/src/briarrun_cell/fenced.py
@@ -15,7 +15,10 @@
 """Time after which an append counts as unanswered and is repeated."""
 
 RETRY_S = 0.05
-"""Pause before an append is repeated."""
+"""Pause before an append is repeated; it doubles with each further repeat."""
+
+MAX_RETRY_S = 0.4
+"""Longest pause before an append is repeated."""
 
 _LOG = PartLog("holder")
 
@@ -43,11 +46,13 @@
             self._sequence += 1
 
     async def _append_until_stored(self, batch: Sequence[Record]) -> int:
+        pause_s = RETRY_S
         while True:
             end = await self._append(batch)
             if end is not None:
                 return end
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RETRY_S)
 
     async def _append(self, batch: Sequence[Record]) -> int | None:
         result = await self._store.append(
