--- a/packages/cell/src/briarrun_cell/accepting.py
+++ b/packages/cell/src/briarrun_cell/accepting.py
@@ -58,11 +58,6 @@
         self._queue: list[_Pending] = []
         self._wake = asyncio.Event()
 
-    @property
-    def unanswered(self) -> bool:
-        """Tell whether the store has answered nothing since an append was lost."""
-        return self._last_answer_at() < self._unanswered_at
-
     async def write(
         self, record: Record, refused_s: float, unsettled_s: float
     ) -> WriteOutcome:
@@ -72,7 +67,7 @@
         been stored for ``unsettled_s``. Nothing is sent, and the record is certainly
         not stored, while the store has answered nothing since an append was lost.
         """
-        if self.unanswered:
+        if self._last_answer_at() < self._unanswered_at:
             return WriteOutcome.NOT_STORED
         answer: asyncio.Future[WriteOutcome] = (
             asyncio.get_running_loop().create_future()
--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -25,7 +25,6 @@
 from briarrun_cell.nodes import EntryVm, EntryVmTable
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
 from briarrun_cell.registry import EntryDecoder, Registry
-from briarrun_cell.relay import PeerFronts, PeerRelay
 from briarrun_cell.settings import CellSettings
 from briarrun_cell.stream import JobStreamReader
 from briarrun_cell.tail import TopicTail
@@ -100,7 +99,6 @@
     store: Store
     workers: Workers
     advice_proxy: AdviceProxy
-    peer_fronts: PeerFronts
     config_decoder: ConfigDecoder
     entry_decoder: EntryDecoder
 
@@ -164,12 +162,6 @@
             self._writer,
             clock,
             settings.max_config_age_s,
-            PeerRelay(
-                ports.peer_fronts,
-                self._other_vms,
-                clock,
-                random.Random(self.incarnation),
-            ),
         )
         self.holder = Holder(
             HolderParts(
@@ -225,11 +217,6 @@
             key=lambda vm: (vm.vm != own, vm.region != region, vm.vm),
         )
 
-    def _other_vms(self) -> list[EntryVm]:
-        """Return every VM of the cell but this one."""
-        own = self._settings.vm
-        return [vm for vm in self._vms.by_name.values() if vm.vm != own]
-
     @property
     def current(self) -> bool:
         """Tell whether the configuration and the jobs are known as of now."""
--- a/packages/cell/src/briarrun_cell/front.py
+++ b/packages/cell/src/briarrun_cell/front.py
@@ -11,16 +11,15 @@
 from briarrun_cell.accepting import RecordWriter, WriteOutcome
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
-from briarrun_cell.job_table import JobEntry, JobTable
+from briarrun_cell.job_table import JobTable
 from briarrun_cell.logs import PartLog
 from briarrun_cell.model import JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
-from briarrun_cell.relay import PeerRelay
 from briarrun_cell.tail import TopicTail
 
 WRITE_PATIENCE_S = 0.1
-"""Time for which a write that the store refused is tried again, before a peer is asked
-or the caller is told to come back."""
+"""Time for which a write that the store refused is tried again; another VM may have a
+better way to the store, so that a quick refusal serves the caller best."""
 
 UNSETTLED_PATIENCE_S = 0.9
 """Time for which a write whose answer was lost is tried again."""
@@ -91,7 +90,6 @@
         writer: RecordWriter,
         clock: Clock,
         max_config_age_s: float,
-        relay: PeerRelay,
     ) -> None:
         self._config = config
         self._config_tail = config_tail
@@ -100,7 +98,6 @@
         self._writer = writer
         self._clock = clock
         self._max_config_age_s = max_config_age_s
-        self._relay = relay
 
     @property
     def config_is_current(self) -> bool:
@@ -183,19 +180,16 @@
         silence_s = min(self._config_tail.silence_s(), self._jobs_tail.silence_s())
         return silence_s > STORE_SILENCE_S
 
-    async def write_here(self, record: Record, refused_s: float) -> WriteOutcome:
-        """Store a record from this VM; a refused write is repeated for a while."""
-        if self.store_is_silent:
-            return WriteOutcome.NOT_STORED
-        return await self._writer.write(record, refused_s, UNSETTLED_PATIENCE_S)
-
     async def _write(self, record: Record) -> Reply:
-        outcome = await self.write_here(record, WRITE_PATIENCE_S)
-        silent = self.store_is_silent or self._writer.unanswered
-        silent = silent and not self._jobs_tail.turned_away
-        if outcome is WriteOutcome.NOT_STORED and not silent:
-            # The store answers and turns this VM away; a silent one may be so for all.
-            outcome = await self._relay.write(record)
+        if self.store_is_silent:
+            return Reply(
+                Verdict.NOT_RUN,
+                retry_after_s=RETRY_AFTER_S,
+                detail="the store is unreachable",
+            )
+        outcome = await self._writer.write(
+            record, WRITE_PATIENCE_S, UNSETTLED_PATIENCE_S
+        )
         if outcome is WriteOutcome.STORED:
             return Reply(Verdict.ACCEPTED)
         if outcome is WriteOutcome.NOT_STORED:
@@ -208,28 +202,13 @@
 
     async def state(self, job_id: str, customer: str) -> Reply:
         """Return a job's state; one that may have changed is read from the store."""
-        entry = await self._newest_entry(job_id)
-        known = entry is not None and entry.spec is not None
-        state = entry.state if entry is not None and known else None
-        if not self._jobs_tail.available and (entry is None or not entry.final):
-            state = await self._relay.state(job_id) or state
-        if state is None:
-            return self._unknown()
-        return Reply(Verdict.STATE, state=state, customer=customer)
-
-    async def state_here(self, job_id: str) -> JobState | None:
-        """Return what this VM knows of a job now; None if it cannot tell."""
-        entry = await self._newest_entry(job_id)
-        if not self._jobs_tail.available or entry is None or entry.spec is None:
-            return None
-        return entry.state
-
-    async def _newest_entry(self, job_id: str) -> JobEntry | None:
         entry = self._table.by_id.get(job_id)
         if entry is None or not entry.final:
             await self._jobs_tail.refresh(VIEW_PATIENCE_S)
             entry = self._table.by_id.get(job_id)
-        return entry
+        if entry is None or entry.spec is None:
+            return self._unknown()
+        return Reply(Verdict.STATE, state=entry.state, customer=customer)
 
     async def count(self, queue: Queue, customer: str) -> Reply:
         """Return how many accepted jobs of a queue have no started task."""
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -65,14 +65,7 @@
 
 
 class StoreUnavailable(Exception):  # noqa: N818 - the store's state, not a defect
-    """A read of the store had no usable answer.
-
-    ``refused`` tells that it was turned away, not left without an answer.
-    """
-
-    def __init__(self, detail: str, refused: bool = True) -> None:
-        super().__init__(detail)
-        self.refused = refused
+    """A read of the store had no usable answer."""
 
 
 class HistoryTruncated(Exception):  # noqa: N818 - the store's state, not a defect
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -47,7 +47,6 @@
 class TopicTail:
     """Read one topic for good; ``pace_s`` gathers records between reads.
 
-    ``turned_away`` tells that the last read was refused, not left without an answer.
     ``confirmed_at`` is the time of sending of the last read that reached the end, so
     everything written before it is known. A read that waits in vain makes it up to
     twice the wait old although the store answers, which ``answered_at`` tells.
@@ -73,7 +72,6 @@
         self.confirmed_at: float | None = None
         self.answered_at = float("-inf")
         self._available = True
-        self.turned_away = False
         self._progress = asyncio.Event()
         self._hurry = asyncio.Event()
         self._pausing = False
@@ -85,11 +83,6 @@
             return float("inf")
         return self._clock.now() - self.confirmed_at
 
-    @property
-    def available(self) -> bool:
-        """Tell whether the last read was answered."""
-        return self._available
-
     def silence_s(self) -> float:
         """Return for how long no read was answered; it includes a read's own wait."""
         return self._clock.now() - self.answered_at
@@ -130,7 +123,6 @@
                 _LOG.warning("history was truncated", topic=self._topic)
                 self.next_offset = None
             except StoreUnavailable as error:
-                self.turned_away = error.refused
                 self._note(False, str(error))
                 await asyncio.sleep(RETRY_S)
 
@@ -177,7 +169,6 @@
         self.answered_at = self._clock.now()
         if confirmed_at is not None:
             self.confirmed_at = confirmed_at
-        self.turned_away = False
         self._note(True, "")
         progress, self._progress = self._progress, asyncio.Event()
         progress.set()
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Sequence
 from dataclasses import dataclass, field
 
-from briarrun_cell.accepting import WriteOutcome
 from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.clock import LoopClock
 from briarrun_cell.config_view import ConfigDecoder
@@ -27,7 +26,6 @@
     WorkerEntry,
 )
 from briarrun_cell.nodes import EntryVm
-from briarrun_cell.peers import RELAYED_PATIENCE_S
 from briarrun_cell.ports import (
     AdviceAnswer,
     AdviceUnavailable,
@@ -38,7 +36,6 @@
     Workers,
 )
 from briarrun_cell.registry import EntryDecoder
-from briarrun_cell.relay import PeerFronts, PeerUnavailable
 from briarrun_cell.settings import CellSettings
 from briarrun_core.resources import NOTHING, Resources
 from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
@@ -139,39 +136,6 @@
         return await found.advisor.advise(step, worker_ids, timeout_s)
 
 
-class DirectPeerFronts(PeerFronts):
-    """Call the fronts of other VMs of the same cell."""
-
-    def __init__(self, cell: FakeCell) -> None:
-        self._cell = cell
-
-    async def write(
-        self, vm: EntryVm, record: Record, timeout_s: float
-    ) -> WriteOutcome:
-        """Let a peer store a record."""
-        core = self._cell.vms_by_name[vm.vm].core
-        if core is None:
-            return WriteOutcome.NOT_STORED
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await core.front.write_here(record, RELAYED_PATIENCE_S)
-        except TimeoutError:
-            return WriteOutcome.UNKNOWN
-
-    async def state(
-        self, vm: EntryVm, job_id: str, timeout_s: float
-    ) -> JobState | None:
-        """Return a job's state, None if unknown; raises ``PeerUnavailable``."""
-        core = self._cell.vms_by_name[vm.vm].core
-        if core is None:
-            raise PeerUnavailable(f"{vm.vm} is down")
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await core.front.state_here(job_id)
-        except TimeoutError as error:
-            raise PeerUnavailable(f"{vm.vm} did not answer") from error
-
-
 @dataclass
 class CellOptions:
     """Choose the size of a cell."""
@@ -308,7 +272,6 @@
                 vm.store,
                 GatedWorkers(self.fleet, vm),
                 DirectProxy(self),
-                DirectPeerFronts(self),
                 self.decoder,
                 self.decoder,
             ),
--- a/tools/emulator/cell/store.py
+++ b/tools/emulator/cell/store.py
@@ -200,7 +200,7 @@
                 return result
         except TimeoutError as error:
             await self.running.wait()
-            raise StoreUnavailable("no answer", refused=False) from error
+            raise StoreUnavailable("no answer") from error
 
     async def newest(self, topic: Topic, *, timeout_s: float) -> ReadResult:
         """Return the newest record of each key."""
@@ -216,4 +216,4 @@
                 return result
         except TimeoutError as error:
             await self.running.wait()
-            raise StoreUnavailable("no answer", refused=False) from error
+            raise StoreUnavailable("no answer") from error
