--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -100,7 +100,7 @@
     load = [loop.create_task(callers.run(until)) for _ in range(plan.callers)] + [
         loop.create_task(callers.probe_keys(until))
     ]
-    faults: list[asyncio.Task[None]] = []
+    faults: list[asyncio.Future[None]] = []
     while True:
         await asyncio.sleep(rng.expovariate(plan.faults_per_s))
         if loop.time() > until - LAST_FAULT_S:
@@ -110,15 +110,11 @@
         print(f"{at_s:7.2f} {inject.__name__}", file=sys.stderr)
         # A source of its own, so that overlapping faults draw independently.
         drawn = random.Random(rng.random())
-        faults.append(loop.create_task(_inject(inject, world, drawn)))
+        faults.append(asyncio.ensure_future(inject(world, drawn)))
     await asyncio.gather(*faults, *load)
     return len(faults)
 
 
-async def _inject(inject: object, world: World, rng: random.Random) -> None:
-    await inject(world, rng)  # type: ignore[operator]
-
-
 def main() -> int:
     """Run one soak, or several with consecutive seeds; 1 if a promise was broken."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from briarrun_core.resources import Resources
+from tools.emulator.cell.store import StoreFaults
 from tools.soak.world import GRACE_S, HIGHEST_LIMIT, SoakVm, SoakWorker, World
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
@@ -113,10 +114,13 @@
 
 async def refuse_holder(world: World, rng: random.Random) -> None:
     """Let the store turn away the VM that acts for the cell."""
-    vm = world.holder() or _vm(world, rng)
+    await _refuse(world.holder() or _vm(world, rng), 0.5 + 4 * rng.random())
+
+
+async def _refuse(vm: SoakVm, length_s: float) -> None:
     vm.disturb(for_s=ANY_LENGTH_S)
     vm.view.refused = True
-    await asyncio.sleep(0.5 + 4 * rng.random())
+    await asyncio.sleep(length_s)
     vm.view.refused = False
     vm.disturb()
 
@@ -140,48 +144,39 @@
 
 async def refuse_vm(world: World, rng: random.Random) -> None:
     """Let the store turn one VM away."""
-    vm = _vm(world, rng)
-    vm.disturb(for_s=ANY_LENGTH_S)
-    vm.view.refused = True
-    await asyncio.sleep(0.5 + 8 * rng.random())
-    vm.view.refused = False
-    vm.disturb()
+    await _refuse(_vm(world, rng), 0.5 + 8 * rng.random())
 
 
-async def store_down(world: World, rng: random.Random) -> None:
-    """Let the store refuse every call."""
+async def _spoil_store(world: World, length_s: float, **faults: float) -> None:
+    """Switch faults of the store for all VMs, and back."""
+    normal = StoreFaults()
     world.disturb(for_s=ANY_LENGTH_S)
-    world.store.faults.down = True
-    await asyncio.sleep(0.5 + 3 * rng.random())
-    world.store.faults.down = False
+    for name, value in faults.items():
+        setattr(world.store.faults, name, value)
+    await asyncio.sleep(length_s)
+    for name in faults:
+        setattr(world.store.faults, name, getattr(normal, name))
     world.disturb()
 
 
+async def store_down(world: World, rng: random.Random) -> None:
+    """Let the store refuse every call."""
+    await _spoil_store(world, 0.5 + 3 * rng.random(), down=True)
+
+
 async def store_slow(world: World, rng: random.Random) -> None:
     """Let the store answer slowly."""
-    world.disturb(for_s=ANY_LENGTH_S)
-    world.store.faults.slow_factor = 50.0
-    await asyncio.sleep(1 + 3 * rng.random())
-    world.store.faults.slow_factor = 1.0
-    world.disturb()
+    await _spoil_store(world, 1 + 3 * rng.random(), slow_factor=50.0)
 
 
 async def store_loses_answers(world: World, rng: random.Random) -> None:
     """Let answers to appends get lost after they took effect."""
-    world.disturb(for_s=ANY_LENGTH_S)
-    world.store.faults.lose_answers = 0.35
-    await asyncio.sleep(1 + 3 * rng.random())
-    world.store.faults.lose_answers = 0.0
-    world.disturb()
+    await _spoil_store(world, 1 + 3 * rng.random(), lose_answers=0.35)
 
 
 async def store_appends_late(world: World, rng: random.Random) -> None:
     """Let some appends take effect seconds after they were given up."""
-    world.disturb(for_s=ANY_LENGTH_S)
-    world.store.faults.late_appends = 0.15
-    await asyncio.sleep(1 + 3 * rng.random())
-    world.store.faults.late_appends = 0.0
-    world.disturb()
+    await _spoil_store(world, 1 + 3 * rng.random(), late_appends=0.15)
 
 
 async def truncate_history(world: World, rng: random.Random) -> None:
