--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -117,13 +117,14 @@
 
 def main() -> int:
     """Run one soak, or several with consecutive seeds; 1 if a promise was broken."""
+    defaults = SoakPlan()
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--runs", type=int, default=1, help="number of seeds")
     parser.add_argument("--duration", type=float, default=20.0, help="seconds of load")
-    parser.add_argument("--vms", type=int, default=3)
-    parser.add_argument("--workers", type=int, default=6)
-    parser.add_argument("--callers", type=int, default=6)
+    parser.add_argument("--vms", type=int, default=defaults.vms)
+    parser.add_argument("--workers", type=int, default=defaults.workers)
+    parser.add_argument("--callers", type=int, default=defaults.callers)
     parser.add_argument("--logs", type=Path, help="keep the logs in this directory")
     options = parser.parse_args()
     failed = False
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -131,9 +131,9 @@
         steps: list[dict[str, Any]] = [
             {
                 "count": rng.randint(1, 5),
-                "cpu": rng.choice((500, 1000, 3000)),
+                "cpu": rng.choice((500, 2000, 6000)),
                 "requestedMemoryMb": 64,
-                "estimatedMs": rng.randint(50, 900),
+                "estimatedMs": rng.randint(100, 1500),
                 "gangScheduled": rng.random() < 0.25,
             }
             for _ in range(rng.choice((1, 1, 1, 2)))
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -65,7 +65,7 @@
     duration_s: float = 20.0
     vms: int = 3
     workers: int = 6
-    callers: int = 6
+    callers: int = 12
     faults_per_s: float = 1.2
 
 
