Let limits bind and old keys be tried on known jobs in the soak

Cause: the removed check of limits and of the configuration's age were not found: limits of 24 and 48 cores never bound, and a count is refused by a VM whose view is old anyway. Change: the limit starts at 12 cores a customer; old keys ask for an ended job.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -82,12 +82,19 @@
             for key, withdrawn_at in list(self.world.withdrawn_at_by_key.items()):
                 vm = self._any_vm()
                 sent_at = loop.time()
-                result = await self._call(vm, "GET", f"/{QUEUES[0]}/", b"", key)
+                result = await self._call(vm, "GET", self._known_target(), b"", key)
                 worked = result.is_ok() and result.ok.status == 200
                 if worked and sent_at > withdrawn_at + REVOCATION_S:
                     age_s = sent_at - withdrawn_at
                     self._break(f"withdrawn key worked at {vm.name} after {age_s:.2f}")
 
+    def _known_target(self) -> str:
+        """Return a job that every VM knows: it is answered without the store."""
+        for job in self.jobs_by_id.values():
+            if job.state in FINAL:
+                return f"/{job.spec.queue}/{job.spec.job_id}"
+        return f"/{QUEUES[0]}/"
+
     def _break(self, text: str) -> None:
         self.world.broken.append(text)
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,7 +10,14 @@
 
 from briarrun_core.resources import Resources
 from tools.emulator.cell.store import StoreFaults
-from tools.soak.world import GRACE_S, HIGHEST_LIMIT, SoakVm, SoakWorker, World
+from tools.soak.world import (
+    GRACE_S,
+    HIGHEST_LIMIT,
+    LOWEST_LIMIT,
+    SoakVm,
+    SoakWorker,
+    World,
+)
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 
@@ -21,7 +28,7 @@
 """Stands for the unknown length of a disturbance until it ends."""
 
 DRAIN_S = 2.5
-LIMITS = (HIGHEST_LIMIT, Resources(24_000, 0), Resources(12_000, 0))
+LIMITS = (HIGHEST_LIMIT, Resources(24_000, 0), LOWEST_LIMIT)
 
 
 def _vm(world: World, rng: random.Random) -> SoakVm:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -30,6 +30,7 @@
 START_S = 10.0
 REVOCATION_S = 5.0
 HIGHEST_LIMIT = Resources(48_000, 0)
+LOWEST_LIMIT = Resources(12_000, 0)
 
 LOWERED_LIMIT_S = 5.0
 """Time after which a lowered limit binds; until then the former one may be in force."""
@@ -138,7 +139,7 @@
     key_by_customer: dict[str, str] = field(default_factory=dict)
     withdrawn_at_by_key: dict[str, float] = field(default_factory=dict)
     version: int = 0
-    limit: Resources = HIGHEST_LIMIT
+    limit: Resources = LOWEST_LIMIT
 
     def __post_init__(self) -> None:
         """Build the stand-ins; nothing runs before ``start``."""
