Move the soak to tests/, where the platform's names may stand

Ruled out: load (the failures are the same alone, 996 other tests passed beside it). Change: tools/soak and the stand-ins that speak the platform's formats move to tests/soak, beside the other runs of real processes. The checks stay as they are.

--- a/tools/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,7 +14,7 @@
 from briarrun_platform.decoding import decode_job
 from briarrun_wire.http_client import HttpPool, PoolLimits
 from briarrun_wire.http_types import HttpFailure, HttpFailureKind, HttpResponse
-from tools.soak.world import POOL, QUEUES, REVOCATION_S, SoakVm, World
+from tests.soak.world import POOL, QUEUES, REVOCATION_S, SoakVm, World
 
 CALL_TIMEOUT_S = 3.0
 CALM_S = 4.0
--- a/tools/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,8 +9,7 @@
 from dataclasses import replace
 
 from briarrun_core.resources import Resources
-from tools.emulator.cell.store import StoreFaults
-from tools.soak.world import (
+from tests.soak.world import (
     GRACE_S,
     HIGHEST_LIMIT,
     LOWEST_LIMIT,
@@ -18,6 +17,7 @@
     SoakWorker,
     World,
 )
+from tools.emulator.cell.store import StoreFaults
 
 Fault = Callable[[World, random.Random], Awaitable[None]]
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from tools.soak.__main__ import run_soak
-from tools.soak.world import SoakPlan
+from tests.soak.__main__ import run_soak
+from tests.soak.world import SoakPlan
 
 CASES = json.loads((Path(__file__).parent / "seeds.json").read_text())
 
--- a/tools/soak/world.py
+++ b/tests/soak/world.py
@@ -15,9 +15,9 @@
 from briarrun_cell.ports import Topic
 from briarrun_core.resources import Resources
 from briarrun_wire.http_server import HttpServer
+from tests.soak.http_store import StoreHandler
+from tests.soak.http_workers import AdviceHandler, WorkerHandler
 from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
-from tools.emulator.cell.http_store import StoreHandler
-from tools.emulator.cell.http_workers import AdviceHandler, WorkerHandler
 from tools.emulator.cell.store import FakeStore, StoreView
 from tools.emulator.processes import Child, free_port
 from tools.emulator.relay import Relay
--- a/tools/soak/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""A randomized soak: real processes, faults from outside, promises checked meanwhile."""
