Mend two faults of the scheduler that the state machine found

Cause, worker-capacity: a worker that left and rejoined during a reservation was counted twice for the gang, as reserved and as free. Cause, nobody-starved: a hold expired in the pass in which its checkpoint ended, so another job took the resources; and two teams whose tasks exceed half of the fleet had each other's tasks checkpointed for ever. Change: reserved workers are counted once; a hold is tried before it is dropped; a task is checkpointed for share only if its team then lacks less than the other one did.

--- a/packages/core/src/briarrun_core/decisions.py
+++ b/packages/core/src/briarrun_core/decisions.py
@@ -167,21 +167,31 @@
             self._blocked_head = job
 
     def _place_held(self) -> None:
-        """Place tasks whose held resources have become free."""
+        """Place tasks whose held resources have become free, and drop expired holds.
+
+        A hold may expire in the same pass in which its resources become free.
+        """
         state = self._state
         for hold in list(state.holds):
             job = state.jobs_by_id.get(hold.job_id)
             if job is None or not job.pending or hold.worker_id not in state.table:
                 state.drop_hold(hold)
                 continue
-            if self.limit_reached or not state.table.is_schedulable(hold.worker_id):
-                continue
-            if not hold.need.fits_in(state.table.unheld(hold.worker_id) + hold.need):
-                continue
-            if not hold.need.fits_in(state.shares.remaining_slice(job.view.team)):
-                continue
-            state.drop_hold(hold)
-            self._place(job, hold.worker_id, False)
+            if self._may_place_held(hold, job):
+                state.drop_hold(hold)
+                self._place(job, hold.worker_id, False)
+            elif hold.until <= self._now and not self.limit_reached:
+                state.drop_hold(hold)
+
+    def _may_place_held(self, hold: Hold, job: Job) -> bool:
+        """Return whether a task of the job can start on the held resources now."""
+        state = self._state
+        return (
+            not self.limit_reached
+            and state.table.is_schedulable(hold.worker_id)
+            and hold.need.fits_in(state.table.unheld(hold.worker_id) + hold.need)
+            and hold.need.fits_in(state.shares.remaining_slice(job.view.team))
+        )
 
     def _place_reserved(self) -> None:
         """Place the job that holds the active reservation, if it fits now."""
--- a/packages/core/src/briarrun_core/gangs.py
+++ b/packages/core/src/briarrun_core/gangs.py
@@ -30,6 +30,9 @@
     if remaining <= 0:
         return chosen
     for worker_id in table.workers_that_fit(need):
+        # A worker that left and rejoined is no longer reserved in the table.
+        if worker_id in reserved:
+            continue
         fitting = fit_count(need, table.unheld(worker_id))
         chosen += [worker_id] * min(fitting, count - len(chosen))
         if len(chosen) >= count:
--- a/packages/core/src/briarrun_core/rebalance.py
+++ b/packages/core/src/briarrun_core/rebalance.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from briarrun_core import explanations
 from briarrun_core.decisions import URGENT_RANK, DecisionPass
 from briarrun_core.model import JobKind
@@ -132,15 +134,6 @@
         for job in self._first_jobs(team):
             fraction = state.shares.fleet_fraction(job.view.resources)
             reason = explanations.checkpointed_for_share(job.view.job_id, team, gap)
-
-            def may_checkpoint(task: RunningTask) -> bool:
-                return (
-                    surplus.get(task.team, 0.0) > 0.0
-                    and task.rank > URGENT_RANK
-                    and task.kind is JobKind.BATCH
-                    and now - task.started_at >= MIN_RUN_S
-                )
-
             wanted = len(job.pending) - state.held_task_count(job.view.job_id)
             while (
                 wanted > 0
@@ -148,7 +141,9 @@
                 and used_budget < budget
                 and not decision_pass.limit_reached
             ):
-                victims = decision_pass.preempt_for(job, may_checkpoint, reason)
+                victims = decision_pass.preempt_for(
+                    job, self._checkpoint_rule(surplus, gap, now), reason
+                )
                 if victims is None:
                     break
                 for task in victims:
@@ -159,6 +154,29 @@
                 wanted -= 1
         return used_budget
 
+    def _checkpoint_rule(
+        self, surplus: dict[str, float], gap: float, now: float
+    ) -> Callable[[RunningTask], bool]:
+        """Return a function that tells whether a task may be checkpointed for a team.
+
+        The shortfall of the task's team must stay below ``gap``, that of the other
+        team. Otherwise two teams with large tasks would replace each other's tasks for
+        ever, and neither would end one.
+        """
+
+        def may_checkpoint(task: RunningTask) -> bool:
+            above = surplus.get(task.team, 0.0)
+            fraction = self._state.shares.fleet_fraction(task.resources)
+            return (
+                above > 0.0
+                and fraction - above < gap
+                and task.rank > URGENT_RANK
+                and task.kind is JobKind.BATCH
+                and now - task.started_at >= MIN_RUN_S
+            )
+
+        return may_checkpoint
+
     def _first_jobs(self, team: str) -> list[Job]:
         state = self._state
         heads = [
--- a/packages/core/src/briarrun_core/scheduler.py
+++ b/packages/core/src/briarrun_core/scheduler.py
@@ -333,8 +333,6 @@
         state = self._state
         state.reservations.expire(state.table, now)
         state.headroom.advance(now)
-        for hold in [h for h in state.holds if h.until <= now]:
-            state.drop_hold(hold)
         for task_id in [
             t for t, at in state.checkpoint_deadline_by_task.items() if at <= now
         ]:
