Keep the work of silent workers; size decisions by the load of a large cell

Change: stalls count up to the last inventory, leases last 5.8 s; headroom by the mean size of urgent tasks; renewals by the number of VMs; a learnt, cautious ratio of run times.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -57,8 +57,9 @@
 READY_VIEW_AGE_S = 3.0
 """Age of the job view above which a VM reports that it is not ready."""
 
-LEASE_S = 3.2
-"""Duration of a run's lease, unless workers grant less."""
+LEASE_S = 5.8
+"""Duration of a run's lease, unless workers grant less. A worker that is cut off for a
+few seconds keeps its work, and so does a cell whose holder is replaced."""
 
 START_ORDER_VALIDITY_S = 2.0
 """Time after which a worker no longer carries out a start order."""
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -133,7 +133,7 @@
             self.on_fenced,
         )
         self._sender = OrderSender(deps.workers, self.ledger, deps.clock, self)
-        self._planner = Planner(self.ledger)
+        self._planner = Planner(self.ledger, lambda: len(deps.vms()))
         self._advice_dispatcher = AdviceDispatcher(
             deps.clock, deps.vms, deps.proxy, self._planner.rates, self.wake
         )
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -18,6 +18,7 @@
     WorkerEntry,
 )
 from briarrun_cell.ranking import RateMeter
+from briarrun_cell.run_times import RunTimeRatios
 from briarrun_cell.workers import Run, RunState, Worker
 from briarrun_core.resources import NOTHING, Resources
 
@@ -73,6 +74,7 @@
         self.ended: list[tuple[str, EndReport]] = []
         self.dirty: set[str] = set()
         self.began_at = clock.now()
+        self.run_time_ratios = RunTimeRatios()
         self._next_run = epoch << RUN_BITS
         self._rates = RateMeter()
         self._reported_workers: set[str] = set()
@@ -312,6 +314,7 @@
         if step.spec.filler:
             need = replace(need, cores=0)
         now = self.clock.now()
+        checkpoint = step.progress.checkpoints_by_index.get(index, "")
         run = Run(
             task=step.step_id.task(index),
             number=number,
@@ -322,7 +325,8 @@
             state=state,
             since=now,
             percent_at=now,
-            checkpoint=step.progress.checkpoints_by_index.get(index, ""),
+            checkpoint=checkpoint,
+            resumed=bool(checkpoint),
         )
         worker.charge(run)
         step.pending.discard(index)
@@ -400,8 +404,11 @@
             self.dirty.add(job.job_id)
 
     def find_stalled(self) -> list[Run]:
-        """Return running runs that have made no progress for too long."""
-        now = self.clock.now()
+        """Return running runs that have made no progress for too long.
+
+        Only time up to the last inventory counts, since a worker that cannot be reached
+        may be making progress.
+        """
         stalled = []
         for worker in self.workers_by_id.values():
             for run in worker.runs_by_id.values():
@@ -411,7 +418,8 @@
                 if run.state is not RunState.RUNNING:
                     continue
                 max_stall_s = STALL_TIMEOUT_S + step.spec.estimated_ms / 1000 * 0.15
-                if now - max(run.percent_at, run.since) > max_stall_s:
+                last_progress_at = max(run.percent_at, run.since)
+                if worker.contact_at - last_progress_at > max_stall_s:
                     stalled.append(run)
         return stalled
 
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from briarrun_cell.advice_candidates import (
@@ -17,19 +17,14 @@
     resources_per_task,
     task_capacity,
 )
+from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.ranking import FairShares, Rank, rank
+from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, Worker
 from briarrun_core.resources import NOTHING, Resources
 
-HEADROOM_FRACTION = 0.125
-"""Fraction of the cores of a headroom worker that is reserved for the most urgent
-queue."""
-
-HEADROOM_WORKER_INTERVAL = 2
-"""One of this many workers keeps headroom for the most urgent queue."""
-
 TICKET_MARGIN_S = 0.25
 """Remaining validity below which a ticket is renewed before use."""
 
@@ -40,13 +35,6 @@
 """Maximum time for which workers are reserved for a gang. Without a limit, a gang that
 never fits would block all less urgent work."""
 
-MAX_FRESH_GANGS = 3
-"""Maximum number of waiting gangs whose tickets are renewed in advance, by rank."""
-
-MAX_FRESH_STEPS = 8
-"""Maximum number of other waiting steps whose tickets are renewed in advance, by rank,
-so that freed capacity can be used without a call to the advice service."""
-
 MAX_BLOCKED_STEPS = 80
 """Number of steps without a placement after which a planning round ends."""
 
@@ -82,6 +70,7 @@
     usable: list[Worker]
     urgent_priority: int
     largest: Resources
+    renewal_limits: RenewalLimits
     pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
@@ -91,10 +80,15 @@
 
 
 class Planner:
-    """Places waiting steps in the order of their rank."""
+    """Places waiting steps in the order of their rank.
 
-    def __init__(self, ledger: Ledger) -> None:
+    ``count_vms`` returns the number of VMs through which advice can be requested.
+    """
+
+    def __init__(self, ledger: Ledger, count_vms: Callable[[], int] = int) -> None:
         self._ledger = ledger
+        self._count_vms = count_vms
+        self._headroom = UrgentHeadroom()
         self.rates = ApprovalRates()
 
     def plan(self) -> Plan:
@@ -103,7 +97,13 @@
         now = ledger.clock.now()
         usable = [w for w in ledger.workers_by_id.values() if w.usable(now)]
         priorities = [q.priority for q in ledger.config.queues_by_name.values()]
-        round_ = _Round(now, usable, min(priorities, default=0), largest_free(usable))
+        round_ = _Round(
+            now,
+            usable,
+            min(priorities, default=0),
+            largest_free(usable),
+            RenewalLimits.for_vms(self._count_vms()),
+        )
         plan = Plan()
         for step_rank, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
@@ -118,8 +118,9 @@
             total = total + worker.entry.capacity
         shares = FairShares.measure(ledger.config, ledger.usage_by_customer, total)
         wall_ms = ledger.clock.wall_ms()
+        ratios = ledger.run_time_ratios
         waiting = [
-            (rank(step, shares, now), step)
+            (rank(step, shares, now, ratios.cautious(job.queue.name)), step)
             for job in ledger.jobs_by_id.values()
             if not job.final
             for step in job.ready_steps(wall_ms)
@@ -148,6 +149,8 @@
         chosen = self._choose_workers(step, ready, round_)
         if chosen:
             step.blocked_since = None
+            if not less_urgent:
+                self._headroom.note_task(step.spec.need)
             if step.spec.gang:
                 runs = self._ledger.place_gang(step, [worker for _, worker in chosen])
             else:
@@ -229,18 +232,15 @@
             return False
         if step.spec.gang:
             round_.gangs_kept_fresh += 1
-            return round_.gangs_kept_fresh <= MAX_FRESH_GANGS
+            return round_.gangs_kept_fresh <= round_.renewal_limits.gangs
         round_.steps_kept_fresh += 1
-        return round_.steps_kept_fresh <= MAX_FRESH_STEPS
+        return round_.steps_kept_fresh <= round_.renewal_limits.steps
 
     # Capacity
 
     def _available(self, worker: Worker, urgent: bool) -> Resources:
         free = worker.free()
-        if not urgent and stable_hash(worker) % HEADROOM_WORKER_INTERVAL == 0:
-            kept = int(worker.entry.capacity.cores * HEADROOM_FRACTION)
-            free = free - Resources(cores=kept)
-        return free
+        return free if urgent else free - self._headroom.kept_on(worker)
 
     def _tasks_within_limit(self, step: Step) -> int:
         """Return how many pending tasks the customer's limit allows to start."""
@@ -322,8 +322,3 @@
             and (not key[1] or key[1] in worker.entry.labels)
         ]
     return pool
-
-
-def stable_hash(worker: Worker) -> int:
-    """Return a hash of the worker id that is the same in every process."""
-    return sum(worker.worker_id.encode())
--- a/packages/cell/src/briarrun_cell/ranking.py
+++ b/packages/cell/src/briarrun_cell/ranking.py
@@ -53,9 +53,14 @@
         return cls(frozenset(above_share))
 
 
-def deadline_status(job: Job, step: Step, now: float) -> DeadlineStatus:
-    """Return whether the job will be on time if the step starts now."""
-    end = now + step.remaining_s
+def deadline_status(
+    job: Job, step: Step, now: float, run_time_ratio: float = 1.0
+) -> DeadlineStatus:
+    """Return whether the job will be on time if the step starts now.
+
+    ``run_time_ratio`` is the expected ratio of actual to estimated run time.
+    """
+    end = now + step.remaining_s * run_time_ratio
     if end <= job.target_end_at:
         return DeadlineStatus.ON_TIME
     return (
@@ -90,19 +95,24 @@
 Rank = tuple[bool, bool, int, int, bool, float]
 
 
-def rank(step: Step, shares: FairShares, now: float) -> Rank:
+def rank(
+    step: Step, shares: FairShares, now: float, run_time_ratio: float = 1.0
+) -> Rank:
     """Return the rank of a step; steps of lower rank start first.
 
     Within one priority, jobs that can still be on time come before jobs that are late
-    already. Otherwise a backlog would make all later jobs late as well.
+    already. Otherwise a backlog would make all later jobs late as well. Whether a job
+    is too late to be of use is decided by its estimate alone, since it then comes last.
     """
     job = step.job
-    expected = deadline_status(job, step, now)
+    expected = deadline_status(job, step, now, run_time_ratio)
+    if expected is DeadlineStatus.TOO_LATE:
+        expected = max(DeadlineStatus.LATE, deadline_status(job, step, now))
     return (
         job.over_rate,
         expected is DeadlineStatus.TOO_LATE,
         job.queue.priority,
         expected,
         job.spec.customer in shares.above_share,
-        job.target_end_at - step.remaining_s,
+        job.target_end_at - step.remaining_s * run_time_ratio,
     )
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -105,6 +105,7 @@
         run.answered_at = self._ledger.clock.now()
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = report.percent
+        run.resumed = True
         self._ledger.mark_job_started(step.job)
         if step.job.final or task.ordinal in step.progress.done:
             self._ledger.stop(run, "the task is not wanted")
@@ -164,8 +165,13 @@
         self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
     ) -> None:
         if kind is EndKind.DONE and run is not None:
+            estimated_s = step.spec.estimated_ms / 1000
             if not run.checkpoint:
-                worker.health.on_done(now - run.since, step.spec.estimated_ms / 1000)
+                worker.health.on_done(now - run.since, estimated_s)
+            if not run.resumed:
+                self._ledger.run_time_ratios.note(
+                    step.job.queue.name, now - run.since, estimated_s
+                )
         elif kind is EndKind.FAILED:
             worker.health.on_failed(now)
             step.failed_on.add(worker.worker_id)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -53,7 +53,7 @@
     ``need`` is what the run occupies on the worker, ``charge`` what it counts against
     the customer's limit. ``order_until_ms`` is a time on the worker's clock after which
     no start order of the run is carried out. ``answered_at`` is the time at which the
-    last order was answered.
+    last order was answered. ``resumed`` tells whether the run started from a checkpoint.
     """
 
     task: TaskId
@@ -70,6 +70,7 @@
     percent: int = 0
     percent_at: float = 0.0
     checkpoint: str = ""
+    resumed: bool = False
     missing_polls: int = 0
     stop_reason: str = ""
 
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -14,6 +14,7 @@
 from briarrun_cell.model import JobSpec, JobState
 from briarrun_cell.ports import ReadResult, StoreUnavailable, Topic
 from briarrun_cell.records import JobProgress, decode
+from briarrun_core.resources import Resources
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
 
@@ -488,3 +489,24 @@
         assert core is not None
         assert core.up_to_date
         assert core.frontend.config_is_current
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 2.5, 4.0])
+@with_cell(capacity=Resources(5000, 32000))
+async def test_gang_survives_a_worker_that_is_silent_for_a_while(
+    cell: FakeCell, silent_s: float
+) -> None:
+    """Guards against a gang that is broken since one member's lease expires.
+
+    One of four workers can not be reached for a time shorter than its lease.
+    """
+    spec = cell.spec(step(16, 6_000, gang=True))
+    await cell.submit(spec)
+    await asyncio.sleep(1.0)
+    assert cell.fleet.starts == 16
+    silent = cell.fleet.workers_by_address["w2:1"]
+    silent.faults.cut = True
+    await asyncio.sleep(silent_s)
+    silent.faults.cut = False
+    assert await cell.finished({spec.job_id}, 12.0) == set()
+    assert cell.fleet.starts == 16
--- /dev/null
+++ b/tests/cell/test_worst_load.py
@@ -0,0 +1,183 @@
+"""Tests of decisions when the cell is full, each a replay of the load it answers."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from briarrun_cell.headroom import UrgentHeadroom
+from briarrun_cell.jobs import Ticket
+from briarrun_cell.ledger import Ledger
+from briarrun_cell.model import (
+    AdviceTerms,
+    EndKind,
+    EndReport,
+    StepSpec,
+)
+from briarrun_cell.planner import Planner
+from briarrun_cell.run_times import RunTimeRatios
+from briarrun_cell.ticket_renewal import RenewalLimits
+from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_core.resources import Resources
+from tests.cell.test_ledger import (
+    NORMAL,
+    URGENT,
+    ManualClock,
+    entry,
+    job,
+    make_ledger,
+    poll,
+)
+
+ADVISED = msgspec.structs.replace(
+    NORMAL,
+    name="advised",
+    advice=AdviceTerms(decision_s=0.5, per_worker_s=0.007, validity_s=2.0),
+)
+PATIENT = msgspec.structs.replace(
+    NORMAL, name="patient", stretch=4.0, latency_target_s=2.0
+)
+
+
+def _place(ledger: Ledger, planner: Planner) -> list[Run]:
+    runs = [run for each in planner.plan().placements for run in each.runs]
+    for run in runs:
+        run.state = RunState.STARTING
+        ledger.on_started(run)
+    return runs
+
+
+def _end(ledger: Ledger, run: Run) -> None:
+    worker = run.worker
+    end = EndReport(worker.applied + 1, run.task, run.number, EndKind.DONE, "")
+    poll(ledger, worker, ended=(end,))
+
+
+@pytest.mark.parametrize(
+    ("task_cores", "free_cores"),
+    [(0, 8_000), (2_000, 8_000), (5_600, 8_000), (16_000, 20_000), (60_000, 48_000)],
+)
+def test_headroom_follows_the_size_of_urgent_tasks(
+    task_cores: int, free_cores: int
+) -> None:
+    """Guards against free cores on each worker that are too few for an urgent task."""
+    headroom = UrgentHeadroom()
+    headroom.note_task(Resources(cores=task_cores))
+    workers = [Worker(entry(f"w{n}", cores=64_000), 0.0) for n in range(240)]
+    kept = [headroom.kept_on(worker).cores for worker in workers]
+    assert set(kept) == {0, free_cores}
+    assert 0.03 <= sum(kept) / (240 * 64_000) <= 0.13
+
+
+def test_urgent_burst_on_a_full_cell_starts_at_once() -> None:
+    """Guards against urgent tasks that wait until less urgent ones end."""
+    ledger = make_ledger()
+    for worker in ledger.set_workers(
+        [entry(f"x{n}", cores=64_000) for n in range(60)], []
+    ):
+        poll(ledger, worker)
+    planner = Planner(ledger)
+    need = Resources(16_000, 10)
+    job(ledger, "first", StepSpec(need=need), queue=URGENT)
+    (run,) = _place(ledger, planner)
+    _end(ledger, run)
+    job(ledger, "wide", StepSpec(count=1000, need=Resources(18_000, 10)), queue=NORMAL)
+    assert len(_place(ledger, planner)) > 100
+    job(ledger, "burst", StepSpec(count=8, need=need), queue=URGENT)
+    assert len(_place(ledger, planner)) == 8
+
+
+@pytest.mark.parametrize(
+    ("vms", "gangs", "steps"), [(0, 3, 8), (9, 3, 8), (44, 5, 11), (97, 12, 24)]
+)
+def test_tickets_renewed_in_advance_grow_with_the_cell(
+    vms: int, gangs: int, steps: int
+) -> None:
+    """Guards against a backlog of gangs that start one advice call after the other.
+
+    The cell is full, and the tickets of twenty waiting gangs and thirty other steps are
+    about to expire.
+    """
+    assert RenewalLimits.for_vms(vms) == RenewalLimits(gangs, steps)
+    ledger = make_ledger(workers=30)
+    for number in range(50):
+        spec = StepSpec(count=4, need=Resources(2000, 10), gang=number < 20)
+        job(ledger, f"j{number:02}", spec, queue=ADVISED)
+    for worker in ledger.workers_by_id.values():
+        worker.used = worker.entry.capacity
+        worker._free = None
+    for waiting in ledger.jobs_by_id.values():
+        for each in waiting.steps_by_id.values():
+            each.advice.answered = True
+            each.advice.queried = frozenset(
+                worker.incarnation_id for worker in ledger.workers_by_id.values()
+            )
+            each.advice.tickets_by_worker = {
+                incarnation: Ticket("t", ledger.clock.now())
+                for incarnation in each.advice.queried
+            }
+    requests = Planner(ledger, lambda: vms).plan().advice_requests
+    assert sum(each.step.spec.gang for each in requests) == gangs
+    assert sum(not each.step.spec.gang for each in requests) == steps
+
+
+@pytest.mark.parametrize(
+    ("ratios", "low", "high"),
+    [
+        ([], 1.0, 1.2),
+        ([1.0] * 200, 1.0, 1.01),
+        ([0.5] * 200, 1.0, 1.0),
+        ([1.5] * 200, 1.45, 1.55),
+        ([0.5, 1.5] * 200, 1.35, 1.65),
+        ([9.0] * 400, 3.9, 4.2),
+    ],
+)
+def test_cautious_ratio_covers_most_runs(
+    ratios: list[float], low: float, high: float
+) -> None:
+    """Guards against a learnt run time that is below that of most runs."""
+    learnt = RunTimeRatios()
+    for ratio in ratios:
+        learnt.note("q", ratio, 1.0)
+    assert low <= learnt.cautious("q") <= high
+
+
+@pytest.mark.parametrize("actual_s", [1.0, 1.3, 1.6])
+def test_backlog_with_short_estimates_ends_jobs_on_time(actual_s: float) -> None:
+    """Guards against jobs that are started just in time by an estimate that is short.
+
+    One worker runs one task at a time, and jobs come half again as fast as it can run
+    them. The jobs that it can run on time must be on time; the rest waits.
+    """
+    ledger = make_ledger(workers=1)
+    clock = ledger.clock
+    assert isinstance(clock, ManualClock)
+    planner = Planner(ledger)
+    began, step_s, ends = clock.time, 0.05, {}
+    need = Resources(8000, 10)
+    running: Run | None = None
+    ended_at = 0.0
+    arrivals = 0
+    while clock.time < began + 60:
+        if clock.time >= began + arrivals * actual_s / 1.5:
+            job(
+                ledger,
+                f"j{arrivals:03}",
+                StepSpec(need=need, estimated_ms=1000),
+                queue=PATIENT,
+            )
+            arrivals += 1
+        if running is not None and clock.time >= ended_at:
+            _end(ledger, running)
+            ends[running.task.job_id] = clock.time
+            running = None
+        for worker in ledger.workers_by_id.values():
+            worker.contact_at = clock.time
+        for run in _place(ledger, planner):
+            running, ended_at = run, clock.time + actual_s
+        clock.time += step_s
+    on_time = sum(
+        ledger.jobs_by_id[job_id].target_end_at >= ended
+        for job_id, ended in ends.items()
+    )
+    assert on_time >= 0.8 * 60 / actual_s
