Let the largest VMs load the jobs first after a loss of power

Change: the twelve largest VMs load at once, the others a second later; records leave out default values of a queue.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -20,6 +20,7 @@
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.ledger import LeaseDurations
+from briarrun_cell.load_order import load_delay_s
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
@@ -64,6 +65,9 @@
 START_ORDER_VALIDITY_S = 2.0
 """Time after which a worker no longer carries out a start order."""
 
+VMS_LOAD_TIMEOUT_S = 0.4
+"""Maximum wait for the list of the cell's VMs before the jobs are loaded."""
+
 REGISTER_RETRY_S = 0.3
 """Pause before a failed registration or background task is repeated."""
 
@@ -143,6 +147,10 @@
             clock,
             wait_s=JOBS_WAIT_S,
             read_pause_s=JOBS_READ_PAUSE_S,
+            before_load=self._wait_for_load_turn,
+        )
+        self._vms_tail = TopicTail(
+            store, Topic.VMS, self._vms, clock, wait_s=RARE_TOPIC_WAIT_S
         )
         self._registry_tail = TopicTail(
             store,
@@ -245,27 +253,43 @@
             task.cancel()
 
     def _follow_topics(self) -> None:
-        store, clock = self._store, self._clock
-        vms_tail = TopicTail(
-            store, Topic.VMS, self._vms, clock, wait_s=RARE_TOPIC_WAIT_S
-        )
         for name, tail in (
             ("config", self._config_tail),
             ("jobs", self._jobs_tail),
             ("holder", self._claims_tail),
             ("registry", self._registry_tail),
-            ("vms", vms_tail),
+            ("vms", self._vms_tail),
         ):
             self._supervise(f"tail of {name}", tail.run)
 
-    async def _register(self) -> None:
-        """Publish the peer address of this VM in the store."""
-        entry = EntryVm(
+    def _own_entry(self) -> EntryVm:
+        return EntryVm(
             vm=self._settings.vm,
             address=self._settings.peer_address,
             failure_domain=self._settings.failure_domain,
             region=self._settings.region,
+            cores=self._settings.cores,
         )
+
+    async def _wait_for_load_turn(self) -> None:
+        """Let the VMs that can become holder load the jobs first."""
+        try:
+            async with asyncio.timeout(VMS_LOAD_TIMEOUT_S):
+                await self._vms_tail.wait_for_offset(0)
+        except TimeoutError:
+            _LOG.warning("the list of VMs could not be read before the jobs")
+        delay_s = load_delay_s(self._own_entry(), self._vms.by_name.values())
+        if delay_s:
+            _LOG.info(
+                "loading the jobs later",
+                delay_s=delay_s,
+                vms=len(self._vms.by_name),
+            )
+            await asyncio.sleep(delay_s)
+
+    async def _register(self) -> None:
+        """Publish the peer address of this VM in the store."""
+        entry = self._own_entry()
         record = Record(entry.vm, msgspec.json.encode(entry))
         while True:
             sent_at = self._clock.now()
--- a/packages/cell/src/briarrun_cell/entry_vms.py
+++ b/packages/cell/src/briarrun_cell/entry_vms.py
@@ -14,12 +14,13 @@
 
 
 class EntryVm(msgspec.Struct, frozen=True, kw_only=True):
-    """Process on an entry VM."""
+    """Process on an entry VM; ``cores`` is 0 if an older version registered it."""
 
     vm: str
     address: str
     failure_domain: str
     region: str
+    cores: float = 0.0
 
 
 class EntryVmTable(TopicListener):
--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -96,7 +96,7 @@
         return self.decision_s + self.per_worker_s * workers
 
 
-class Queue(msgspec.Struct, frozen=True, kw_only=True):
+class Queue(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Queue: host and path for callers, and rules for its jobs.
 
     Priority 0 is the highest. Callers expect a job to end within ``stretch`` times its
