Keep the holder deciding after an unexpected error

Cause: an exception in a scheduling round, in the plan of one step or in an inventory ended the task for good. Change: each step of a plan, each round and each poll handles its errors: logged, then the next one goes on. Before: three new tests red. After: green. Conclusion: possible before this commit, not since.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -276,7 +276,10 @@
             self._wake.clear()
             if self.is_holder():
                 began_at = self._deps.clock.now()
-                self._run_round()
+                try:
+                    self._run_round()
+                except Exception as error:  # The holder must go on deciding.
+                    _LOG.error("scheduling round failed", detail=repr(error))
                 took_s = self._deps.clock.now() - began_at
                 pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S + PAUSE_FACTOR * took_s)
 
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -227,9 +227,20 @@
     async def run(self) -> None:
         """Poll the worker until its process has ended."""
         while not self._worker.dead:
-            if not self._guard.may_renew_leases() or not await self._poll():
+            if not self._guard.may_renew_leases() or not await self._try_poll():
                 await asyncio.sleep(RETRY_S)
 
+    async def _try_poll(self) -> bool:
+        try:
+            return await self._poll()
+        except Exception as error:  # Leases must be renewed by the next poll.
+            _LOG.error(
+                "poll of a worker failed",
+                worker=self._worker.worker_id,
+                detail=repr(error),
+            )
+            return False
+
     async def _poll(self) -> bool:
         worker, ledger = self._worker, self._ledger
         sent_at = self._clock.now()
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -20,6 +20,7 @@
 from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
+from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, Worker
@@ -38,6 +39,8 @@
 MAX_BLOCKED_STEPS = 80
 """Number of steps without a placement after which a planning round ends."""
 
+_LOG = ComponentLog("holder")
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -108,7 +111,15 @@
         for step_rank, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
                 break
-            self._plan_step(step, step_rank, round_, plan)
+            try:
+                self._plan_step(step, step_rank, round_, plan)
+            except Exception as error:  # One job must not stop the planning of others.
+                _LOG.error(
+                    "could not plan a step",
+                    job=step.job.job_id,
+                    step=step.step_id.step,
+                    detail=repr(error),
+                )
         return plan
 
     def _waiting(self, now: float, usable: list[Worker]) -> list[tuple[Rank, Step]]:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import msgspec
 import pytest
@@ -11,10 +12,14 @@
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.holder import CLEANUP_INTERVAL_S
+from briarrun_cell.jobs import Step
 from briarrun_cell.journal import COMPACT_AFTER_S
+from briarrun_cell.ledger import Ledger
 from briarrun_cell.load_order import FIRST_LOADERS, LOAD_DELAY_S, load_delay_s
 from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.planner import Planner
 from briarrun_cell.ports import ReadResult, StoreUnavailable, Topic
+from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.records import JobProgress, decode
 from briarrun_core.resources import Resources
 from tests.cell.running import with_cell
@@ -562,3 +567,60 @@
     assert await _first_start(cell, restarted_at) <= RESTART_BOUND_S
     await asyncio.sleep(LOAD_DELAY_S)
     assert all(core and core.table.by_id for core in cores.values())
+
+
+@with_cell()
+async def test_error_in_the_plan_of_one_job_stops_no_other(
+    cell: FakeCell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a holder that keeps its claim but no longer decides."""
+    broken, sound = cell.spec(step(1, 100)), cell.spec(step(1, 100))
+    original = Planner._plan_step
+
+    def plan_step(self: Planner, each: Step, *others: Any) -> None:
+        if each.job.job_id == broken.job_id:
+            raise ValueError("unexpected content")
+        original(self, each, *others)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Planner, "_plan_step", plan_step)
+        await cell.submit(broken)
+        await cell.submit(sound)
+        assert await cell.finished({sound.job_id}, 3.0) == set()
+    assert await cell.finished({broken.job_id}, 3.0) == set()
+
+
+@with_cell()
+async def test_error_in_a_round_does_not_end_scheduling(
+    cell: FakeCell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a holder that keeps its claim but no longer decides."""
+
+    def fail(self: Ledger) -> None:
+        raise ValueError("unexpected content")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Ledger, "expire", fail)
+        await asyncio.sleep(0.5)
+    spec = cell.spec(step(1, 100))
+    await cell.submit(spec)
+    assert await cell.finished({spec.job_id}, 3.0) == set()
+
+
+@with_cell()
+async def test_malformed_inventory_does_not_end_the_polls_of_a_worker(
+    cell: FakeCell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leases that lapse after one inventory that cannot be applied."""
+    spec = cell.spec(step(4, 6_000))
+    await cell.submit(spec)
+    await asyncio.sleep(0.5)
+
+    def fail(self: InventoryReconciler, *others: Any) -> bool:
+        raise ValueError("unexpected content")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(InventoryReconciler, "on_inventory", fail)
+        await asyncio.sleep(1.5)
+    assert await cell.finished({spec.job_id}, 9.0) == set()
+    assert cell.fleet.starts == 4
