Divide the advice requests of wide steps among VMs

Change: a request is divided into parallel calls of 20 workers, at most one for every eight VMs and only where it saves 50 ms. The step counts as answered when all have ended. Measured: unit table and a replay in virtual time, 0.64 s instead of 1.2 s for 100 workers; a gang sees all answers at once.

--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -16,7 +17,7 @@
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.jobs import Step, Ticket
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.model import StepId
+from briarrun_cell.model import AdviceTerms, StepId
 from briarrun_cell.planner import AdviceRequest
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable
 from briarrun_cell.ranking import Rank
@@ -40,6 +41,32 @@
 _LOG = ComponentLog("advice")
 
 
+WORKERS_PER_PART = 20
+"""Number of workers per call if a request is divided into parallel calls."""
+
+VMS_PER_PART = 8
+"""Number of VMs of the cell for each of the parallel calls, so that a small cell does
+not use all its VMs for one request."""
+
+MIN_SAVING_S = 0.05
+"""Time saved by parallel calls below which a request is not divided."""
+
+
+def divide(
+    workers: tuple[Worker, ...], terms: AdviceTerms, vms: int
+) -> list[tuple[Worker, ...]]:
+    """Divide the workers of a request among parallel calls through several VMs.
+
+    Load pattern: wide gangs on a large cell, whose requests name many workers. The
+    service takes time for each worker, but answers each VM independently.
+    """
+    saving_s = terms.per_worker_s * (len(workers) - WORKERS_PER_PART)
+    parts = min(math.ceil(len(workers) / WORKERS_PER_PART), vms // VMS_PER_PART)
+    if parts <= 1 or saving_s < MIN_SAVING_S:
+        return [workers]
+    return [workers[start::parts] for start in range(parts)]
+
+
 class AdviceProxy(ABC):
     """Client of the advice service that sends calls through a given entry VM."""
 
@@ -64,11 +91,24 @@
     failures: int = 0
 
 
+@dataclass(slots=True)
+class _Request:
+    """Request of a step with the number of its calls that have not ended."""
+
+    step: Step
+    open_calls: int
+
+    def end_call(self) -> None:
+        self.open_calls -= 1
+        if not self.open_calls:
+            self.step.advice.request_in_flight = False
+
+
 @dataclass(slots=True, order=True)
 class _Call:
     rank: Rank
     number: int
-    step: Step = field(compare=False)
+    request: _Request = field(compare=False)
     workers: tuple[Worker, ...] = field(compare=False)
     expected_s: float = field(compare=False)
 
@@ -102,16 +142,19 @@
         assert terms is not None
         workers = request.workers[:MAX_WORKERS]
         step.advice.request_in_flight = True
-        self._last_number += 1
-        self._calls.append(
-            _Call(
-                request.rank,
-                self._last_number,
-                step,
-                workers,
-                terms.call_s(len(workers)),
+        parts = divide(workers, terms, len(self._vms()))
+        open_request = _Request(step, len(parts))
+        for part in parts:
+            self._last_number += 1
+            self._calls.append(
+                _Call(
+                    request.rank,
+                    self._last_number,
+                    open_request,
+                    part,
+                    terms.call_s(len(part)),
+                )
             )
-        )
         self._dispatch()
 
     def close(self) -> None:
@@ -128,8 +171,8 @@
         channels = self._update_channels()
         unassigned = []
         for call in self._calls:
-            if call.step.job.final:
-                call.step.advice.request_in_flight = False
+            if call.request.step.job.final:
+                call.request.end_call()
                 continue
             channel = self._free_channel(channels, call.expected_s > SLOW_CALL_S)
             if channel is None:
@@ -177,7 +220,7 @@
         )
 
     async def _run(self, channel: _Channel, call: _Call) -> None:
-        step = call.step
+        step = call.request.step
         sent_at = self._clock.now()
         try:
             answer = await self._proxy.ask_via(
@@ -214,8 +257,11 @@
             )
         finally:
             channel.busy -= 1
-            step.advice.request_in_flight = False
-        self._on_answer()
+            call.request.end_call()
+        # A gang placed by a part of the answers would take the wrong workers or none.
+        if not step.advice.request_in_flight:
+            step.advice.answered = step.advice.answered or bool(step.advice.queried)
+            self._on_answer()
         self._dispatch()
 
     def _record_answer(
@@ -233,7 +279,6 @@
                     ticket, now + answer.validity_s
                 )
         advice.queried = advice.queried | {worker.incarnation_id for worker in workers}
-        advice.answered = True
 
     def _record_approvals(
         self, step: Step, workers: tuple[Worker, ...], answer: AdviceAnswer
--- a/tests/cell/test_worst_load.py
+++ b/tests/cell/test_worst_load.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Sequence
+
 import msgspec
 import pytest
 
+from briarrun_cell.advice import AdviceDispatcher, AdviceProxy, divide
+from briarrun_cell.clock import LoopClock
+from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Ticket
 from briarrun_cell.ledger import Ledger
@@ -12,9 +18,11 @@
     AdviceTerms,
     EndKind,
     EndReport,
+    StepId,
     StepSpec,
 )
-from briarrun_cell.planner import Planner
+from briarrun_cell.planner import AdviceRequest, Planner
+from briarrun_cell.ports import AdviceAnswer
 from briarrun_cell.run_times import RunTimeRatios
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, RunState, Worker
@@ -181,3 +189,67 @@
         for job_id, ended in ends.items()
     )
     assert on_time >= 0.8 * 60 / actual_s
+
+
+@pytest.mark.parametrize(
+    ("workers", "per_worker_s", "vms", "largest"),
+    [
+        (100, 0.007, 97, 20),
+        (81, 0.007, 97, 17),
+        (100, 0.007, 44, 20),
+        (100, 0.007, 9, 100),
+        (100, 0.0002, 97, 100),
+        (30, 0.007, 97, 15),
+        (20, 0.007, 97, 20),
+        (1, 0.007, 97, 1),
+    ],
+)
+def test_requests_of_wide_steps_are_divided_among_vms(
+    workers: int, per_worker_s: float, vms: int, largest: int
+) -> None:
+    """Guards against a call that takes a second for a wide gang on a large cell."""
+    terms = AdviceTerms(decision_s=0.5, per_worker_s=per_worker_s, validity_s=2.0)
+    named = tuple(Worker(entry(f"w{n}"), 0.0) for n in range(workers))
+    parts = divide(named, terms, vms)
+    assert max(len(part) for part in parts) == largest
+    assert {each for part in parts for each in part} == set(named)
+    assert sum(len(part) for part in parts) == workers
+
+
+class _SlowAdvice(AdviceProxy):
+    """Approves all workers; a call takes time for each of them."""
+
+    async def ask_via(
+        self, vm: EntryVm, step: StepId, worker_ids: Sequence[str], timeout_s: float
+    ) -> AdviceAnswer:
+        await asyncio.sleep(0.5 + 0.007 * len(worker_ids))
+        return AdviceAnswer(dict.fromkeys(worker_ids, "t"), 2.0)
+
+
+@pytest.mark.looptime
+async def test_advice_for_a_wide_gang_is_complete_when_answered() -> None:
+    """Guards against a gang that is placed by a part of the answers, or late."""
+    ledger = make_ledger(workers=100)
+    job(ledger, "wide", StepSpec(count=8, gang=True), queue=ADVISED)
+    (waiting,) = ledger.jobs_by_id["wide"].steps_by_id.values()
+    vms = [
+        EntryVm(vm=f"vm{n:02}", address="", failure_domain="", region="")
+        for n in range(97)
+    ]
+    planner = Planner(ledger, lambda: len(vms))
+    seen: list[int] = []
+    dispatcher = AdviceDispatcher(
+        LoopClock(),
+        lambda: vms,
+        _SlowAdvice(),
+        planner.rates,
+        lambda: seen.append(len(waiting.advice.tickets_by_worker)),
+    )
+    workers = tuple(ledger.workers_by_id.values())
+    rank = (False, False, 0, 0, False, 0.0)
+    dispatcher.enqueue(AdviceRequest(waiting, workers, rank))
+    assert waiting.advice.request_in_flight
+    await asyncio.sleep(0.5 + 0.007 * 20 + 0.01)
+    assert seen == [100]
+    assert waiting.advice.answered
+    assert not waiting.advice.request_in_flight
