--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -272,7 +272,7 @@
         )
 
     async def _wait_for_load_turn(self) -> None:
-        """Let the VMs that can become holder load the jobs first."""
+        """Let the VMs that can become holder load the jobs first, if there is none."""
         try:
             async with asyncio.timeout(VMS_LOAD_TIMEOUT_S):
                 await self._vms_tail.wait_for_offset(0)
@@ -281,11 +281,15 @@
         delay_s = load_delay_s(self._own_entry(), self._vms.by_name.values())
         if delay_s:
             _LOG.info(
-                "loading the jobs later",
+                "loading the jobs later unless there is a holder",
                 delay_s=delay_s,
                 vms=len(self._vms.by_name),
             )
-            await asyncio.sleep(delay_s)
+            try:
+                async with asyncio.timeout(delay_s):
+                    await self.election.holder_seen.wait()
+            except TimeoutError:
+                return
 
     async def _register(self) -> None:
         """Publish the peer address of this VM in the store."""
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -128,6 +128,7 @@
         self._topic_end: int | None = None
         self._last_claim_at = 0.0
         self._jitter_s = 0.0
+        self.holder_seen = asyncio.Event()
         self._renewal_pause_s = RENEWAL_INTERVAL_S
         self._round_trip_s = MAX_TERM_S
 
@@ -145,7 +146,9 @@
             self._observe(record, record.offset + 1)
 
     def on_records(self, records: Sequence[Record], sent_at: float) -> None:
-        """Apply further claims."""
+        """Apply further claims, which show that a holder lives."""
+        if records:
+            self.holder_seen.set()
         for record in records:
             self._observe(record, record.offset + 1)
 
