Acknowledge an end only after it has been applied

Cause, found by reading the change: the number of an end was noted before the end was applied. Since polls go on after an error, an end that could not be applied was acknowledged by the next poll, and its task was started again. Change: the number is noted afterwards; a failed end is applied again with the next inventory. Before: the new test red (2 starts instead of 1). After: green.

--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -39,8 +39,9 @@
         has_new_ends = False
         for end in inventory.ended:
             if end.number > worker.applied:
-                worker.applied = end.number
                 self._on_end(worker, end)
+                # An end that could not be applied must not be acknowledged.
+                worker.applied = end.number
                 has_new_ends = True
         listed = {(report.task, report.run): report for report in inventory.running}
         for key, report in listed.items():
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.logs import ComponentLog
@@ -48,7 +48,7 @@
     """Reads one topic continuously and passes the records to a listener.
 
     ``read_pause_s`` is the pause after a read that returned records; it makes the next
-    read return more of them. ``before_load`` is awaited once, before the first snapshot.
+    read return more of them.
 
     ``confirmed_at`` is the time at which the last read that reached the end of the
     topic was sent. All records written before then have been read. While long polls
@@ -65,14 +65,12 @@
         *,
         wait_s: float,
         read_pause_s: float = 0.0,
-        before_load: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
         self._topic = topic
         self._listener = listener
         self._clock = clock
         self._wait_s = wait_s
-        self._before_load = before_load
         self.read_pause_s = read_pause_s
         self.next_offset: int | None = None
         self.confirmed_at: float | None = None
@@ -119,8 +117,6 @@
 
     async def run(self) -> None:
         """Read the topic until cancelled."""
-        if self._before_load is not None:
-            await self._before_load()
         while True:
             try:
                 if self.next_offset is None:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -16,11 +16,12 @@
 from briarrun_cell.journal import COMPACT_AFTER_S
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.load_order import FIRST_LOADERS, LOAD_DELAY_S, load_delay_s
-from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.model import EndReport, JobSpec, JobState
 from briarrun_cell.planner import Planner
 from briarrun_cell.ports import ReadResult, StoreUnavailable, Topic
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.records import JobProgress, decode
+from briarrun_cell.workers import Worker
 from briarrun_core.resources import Resources
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
@@ -638,3 +639,26 @@
     await asyncio.sleep(LOAD_DELAY_S / 2)
     core = cell.vms_by_name["vm29"].core
     assert core is not None and core.up_to_date
+
+
+@with_cell()
+async def test_end_that_cannot_be_applied_is_not_acknowledged(
+    cell: FakeCell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a task that runs twice since the report of its end was lost."""
+    spec = cell.spec(step(1, 300))
+    failures: list[EndReport] = []
+    original = InventoryReconciler._on_end
+
+    def fail_once(self: InventoryReconciler, worker: Worker, end: EndReport) -> None:
+        if not failures:
+            failures.append(end)
+            raise ValueError("unexpected content")
+        original(self, worker, end)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(InventoryReconciler, "_on_end", fail_once)
+        await cell.submit(spec)
+        assert await cell.finished({spec.job_id}, 5.0) == set()
+    assert failures
+    assert cell.fleet.starts == 1
