--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -38,9 +38,6 @@
 RETRY_S = 0.05
 """Pause before a failed request is repeated, and between retries of the dispatch."""
 
-_LOG = ComponentLog("advice")
-
-
 WORKERS_PER_PART = 20
 """Number of workers per call if a request is divided into parallel calls."""
 
@@ -51,6 +48,8 @@
 MIN_SAVING_S = 0.05
 """Time saved by parallel calls below which a request is not divided."""
 
+_LOG = ComponentLog("advice")
+
 
 def divide(
     workers: tuple[Worker, ...], terms: AdviceTerms, vms: int
@@ -260,7 +259,7 @@
             call.request.end_call()
         # A gang placed by a part of the answers would take the wrong workers or none.
         if not step.advice.request_in_flight:
-            step.advice.answered = step.advice.answered or bool(step.advice.queried)
+            step.advice.answered = bool(step.advice.queried)
             self._on_answer()
         self._dispatch()
 
--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -147,7 +147,6 @@
             clock,
             wait_s=JOBS_WAIT_S,
             read_pause_s=JOBS_READ_PAUSE_S,
-            before_load=self._wait_for_load_turn,
         )
         self._vms_tail = TopicTail(
             store, Topic.VMS, self._vms, clock, wait_s=RARE_TOPIC_WAIT_S
@@ -255,12 +254,16 @@
     def _follow_topics(self) -> None:
         for name, tail in (
             ("config", self._config_tail),
-            ("jobs", self._jobs_tail),
             ("holder", self._claims_tail),
             ("registry", self._registry_tail),
             ("vms", self._vms_tail),
         ):
             self._supervise(f"tail of {name}", tail.run)
+        self._supervise("tail of jobs", self._follow_jobs)
+
+    async def _follow_jobs(self) -> None:
+        await self._wait_for_load_turn()
+        await self._jobs_tail.run()
 
     def _own_entry(self) -> EntryVm:
         return EntryVm(
--- a/packages/cell/src/briarrun_cell/headroom.py
+++ b/packages/cell/src/briarrun_cell/headroom.py
@@ -50,11 +50,11 @@
             max(MIN_WORKER_FRACTION, SIZE_FACTOR * self._mean_cores / capacity),
         )
         interval = math.ceil(fraction / CELL_FRACTION)
-        if stable_hash(worker) % interval:
+        if _stable_hash(worker) % interval:
             return NOTHING
         return Resources(cores=int(capacity * fraction))
 
 
-def stable_hash(worker: Worker) -> int:
+def _stable_hash(worker: Worker) -> int:
     """Return a hash of the worker id that is the same in every process."""
     return sum(worker.worker_id.encode())
