Show that withdrawn keys and leaving workers stay so after a restart

Red with the check of keys removed, and with the check of draining workers removed. The case of a worker that left the registry stays green without the check of the registry, since the worker is forgotten as well.

--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -10,7 +11,7 @@
 
 from briarrun_cell.election import MAX_TERM_S, Claim
 from briarrun_cell.entry_vms import EntryVm
-from briarrun_cell.frontend import RequestOutcome
+from briarrun_cell.frontend import Reply, RequestOutcome, RequestTarget
 from briarrun_cell.holder import CLEANUP_INTERVAL_S
 from briarrun_cell.jobs import Step
 from briarrun_cell.journal import COMPACT_AFTER_S
@@ -662,3 +663,71 @@
         assert await cell.finished({spec.job_id}, 5.0) == set()
     assert failures
     assert cell.fleet.starts == 1
+
+
+@pytest.mark.parametrize("restarted", ["vm0", "vm1", "vm2", "all"])
+@with_cell()
+async def test_withdrawn_key_stays_withdrawn_after_a_restart(
+    cell: FakeCell, restarted: str
+) -> None:
+    """Guards against a key that is in use again after a process has restarted.
+
+    The store cannot be read at first, so the process has no configuration.
+    """
+    cell.publish(customers=("roster",))
+    await asyncio.sleep(0.5)
+    names = list(cell.vms_by_name) if restarted == "all" else [restarted]
+    cell.store.faults.down = True
+    for name in names:
+        cell.kill_vm(name)
+        cell.start_vm(name)
+    target = RequestTarget("h", "/urgent/0000000000000001", "key-stalls")
+    end_at = asyncio.get_running_loop().time() + 4.0
+    last: Reply | None = None
+    while asyncio.get_running_loop().time() < end_at:
+        if asyncio.get_running_loop().time() > end_at - 3.0:
+            cell.store.faults.down = False
+        for name in names:
+            core = cell.vms_by_name[name].core
+            assert core is not None
+            reply = core.frontend.find(target)
+            assert isinstance(reply, Reply)
+            assert reply.request_outcome in (
+                RequestOutcome.NO_CONFIG,
+                RequestOutcome.BAD_KEY,
+            )
+            last = reply
+        await asyncio.sleep(0.02)
+    assert last is not None and last.request_outcome is RequestOutcome.BAD_KEY
+
+
+@pytest.mark.parametrize(
+    ("left", "all_vms"), [(True, True), (True, False), (False, True), (False, False)]
+)
+@with_cell()
+async def test_leaving_worker_gets_no_work_after_a_restart(
+    cell: FakeCell, left: bool, all_vms: bool
+) -> None:
+    """Guards against a worker that is in use again after the holder has restarted.
+
+    It is draining, or has left the registry while it still answers. Either all VMs
+    restart, or another VM takes over.
+    """
+    leaving = cell.fleet.workers_by_address["w1:1"]
+    if left:
+        cell.store.put(Topic.WORKERS, "w1", None)
+    else:
+        cell.register(replace(leaving.entry, draining=True))
+    await asyncio.sleep(1.0)
+    holder = await cell.wait_for_holder()
+    for name in list(cell.vms_by_name) if all_vms else [holder.name]:
+        cell.kill_vm(name)
+        if all_vms:
+            cell.start_vm(name)
+    specs = [cell.spec(step(4, 400)) for _ in range(12)]
+    for spec in specs:
+        while (await cell.submit(spec)).request_outcome is not RequestOutcome.ACCEPTED:
+            await asyncio.sleep(0.05)
+    assert await cell.finished({spec.job_id for spec in specs}, 20.0) == set()
+    assert leaving.count == 0
+    assert not leaving.runs_by_id
