Do not use a connection slot that becomes free at the deadline

It then tried to connect with no time left, which was reported as a failed connect. Ruled out: the server of the test; its connections are counted apart. Change: the waiter checks the deadline once more and passes the slot on. Before: the new test red. After: green (22 tests of the client).

--- a/packages/wire/src/briarrun_wire/http_client.py
+++ b/packages/wire/src/briarrun_wire/http_client.py
@@ -128,6 +128,10 @@
         except asyncio.CancelledError:
             self._abandon_wait(pool, waiter)
             raise
+        # The slot may have become free just as the deadline passed.
+        if asyncio.get_running_loop().time() >= deadline:
+            self._release_slot(pool)
+            return False
         return True
 
     def _abandon_wait(self, pool: _AddressPool, waiter: asyncio.Future[None]) -> None:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -204,6 +204,24 @@
     await pool.close()
 
 
+async def test_slot_that_becomes_free_at_the_deadline_is_not_used() -> None:
+    """A request whose time ran out in the queue must not count as a failed connect."""
+    served = ScriptedServer(lambda *_: None)
+    address = await served.start()
+    pool = HttpPool(PoolLimits(max_connections=1))
+    holding = asyncio.create_task(post(pool, address))
+    await asyncio.sleep(0.05)
+    waiting = asyncio.create_task(post(pool, address, timeout_s=0.1))
+    await asyncio.sleep(0)
+    holding.cancel()
+    await asyncio.sleep(0)
+    time.sleep(0.12)  # noqa: ASYNC251 - the loop is busy until after the deadline
+    result = await waiting
+    assert result.is_error() and result.error.kind == KIND.CONNECTION_LIMIT
+    assert served.connections == 1
+    await pool.close()
+
+
 async def test_cancelled_request_closes_its_connection() -> None:
     """A cancelled request must not keep an upstream connection in use."""
     served = ScriptedServer(lambda *_: None)
