Let a request for a job's state wait for an outcome that comes soon

Change: for a job that runs and may end soon, the request waits for the outcome, 0.25 s at most; a VM reads the job stream every 20 ms while somebody waits. The rule is a module of its own.

--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -13,6 +13,7 @@
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import JobSpec, JobState, Queue, StepSpec
+from briarrun_cell.outcome_wait import outcome_wait_s
 from briarrun_cell.ports import Record
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.tail import TopicTail
@@ -201,11 +202,21 @@
         return Reply(RequestOutcome.IN_DOUBT, detail="the store did not answer")
 
     async def state(self, job_id: str, customer: str) -> Reply:
-        """Return the state of a job, after a refresh of the job view unless it is final."""
+        """Return the state of a job, after a refresh of the job view unless it is final.
+
+        If the job may end soon, waits for the outcome for a short time.
+        """
         entry = self._table.by_id.get(job_id)
         if entry is None or not entry.final:
             await self._jobs_tail.refresh(VIEW_REFRESH_TIMEOUT_S)
             entry = self._table.by_id.get(job_id)
+        wait_s = 0.0
+        if entry is not None and not self.store_is_unreachable:
+            wait_s = outcome_wait_s(entry, self._clock.wall_ms())
+        if wait_s:
+            with self._jobs_tail.followed():
+                await self._table.wait_for_outcome(job_id, wait_s)
+            entry = self._table.by_id.get(job_id)
         if entry is None or entry.spec is None:
             return self._unknown_job_reply()
         return Reply(RequestOutcome.STATE, state=entry.state, customer=customer)
--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -53,6 +54,7 @@
         self.by_id: dict[str, JobEntry] = {}
         self.unreadable = 0
         self.listeners: list[Callable[[str], None]] = []
+        self._outcome_waiters_by_id: dict[str, set[asyncio.Future[None]]] = {}
 
     def reset(self, records: Iterable[Record]) -> None:
         """Replace the table by a snapshot, the newest record of each key."""
@@ -80,9 +82,31 @@
             and entry.state is JobState.QUEUED
         )
 
+    async def wait_for_outcome(self, job_id: str, timeout_s: float) -> None:
+        """Wait until a job is final or deleted, at most ``timeout_s``."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiters = self._outcome_waiters_by_id.setdefault(job_id, set())
+        waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except TimeoutError:
+            return
+        finally:
+            waiters.discard(waiter)
+            if not waiters and self._outcome_waiters_by_id.get(job_id) is waiters:
+                del self._outcome_waiters_by_id[job_id]
+
     def _notify(self, job_id: str) -> None:
         for listener in self.listeners:
             listener(job_id)
+        if job_id not in self._outcome_waiters_by_id:
+            return
+        entry = self.by_id.get(job_id)
+        if entry is None or entry.final:
+            for waiter in self._outcome_waiters_by_id.pop(job_id):
+                if not waiter.done():
+                    waiter.set_result(None)
 
     def _apply(self, record: Record) -> str | None:
         try:
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.logs import ComponentLog
@@ -29,6 +30,9 @@
 ROUND_TRIP_S = 0.03
 """Time after which an open read is long-polling, so the store has no new records."""
 
+FOLLOWED_READ_PAUSE_S = 0.02
+"""Maximum pause between reads while somebody waits for a record."""
+
 _LOG = ComponentLog("store")
 
 
@@ -79,6 +83,7 @@
         self._advanced = asyncio.Event()
         self._read_now = asyncio.Event()
         self._pausing = False
+        self._followers = 0
         self._sent_at = float("-inf")
 
     def age_s(self) -> float:
@@ -115,6 +120,16 @@
         except TimeoutError:
             return
 
+    @contextmanager
+    def followed(self) -> Iterator[None]:
+        """Read new records soon after they are written, as long as the context lasts."""
+        self._followers += 1
+        self._read_now.set()
+        try:
+            yield
+        finally:
+            self._followers -= 1
+
     async def run(self) -> None:
         """Read the topic until cancelled."""
         while True:
@@ -160,8 +175,11 @@
         """Pause until the next read, or until ``refresh`` is called."""
         self._read_now.clear()
         self._pausing = True
+        pause_s = self.read_pause_s
+        if self._followers:
+            pause_s = min(pause_s, FOLLOWED_READ_PAUSE_S)
         try:
-            async with asyncio.timeout(self.read_pause_s):
+            async with asyncio.timeout(pause_s):
                 await self._read_now.wait()
         except TimeoutError:
             return
--- a/tests/cell/test_loads.py
+++ b/tests/cell/test_loads.py
@@ -78,6 +78,38 @@
         assert asyncio.get_running_loop().time() - began_at <= VIEW_BOUND_S
 
 
+@pytest.mark.parametrize("asked_early_s", [0.0, 0.02, 0.1])
+@with_cell()
+async def test_caller_who_asks_at_the_end_gets_the_outcome(
+    cell: FakeCell, asked_early_s: float
+) -> None:
+    """Guards against callers who are told that a job runs, just when it has ended.
+
+    They ask when its last task ends, or a little earlier, and only once.
+    """
+    spec = cell.spec(step(2, 640))
+    await cell.submit(spec)
+    while not cell.fleet.starts:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.64 - asked_early_s)
+    for name in cell.vms_by_name:
+        assert await cell.state(spec.job_id, name) is JobState.COMPLETED
+
+
+@with_cell()
+async def test_state_of_a_job_that_has_just_begun_is_returned_at_once(
+    cell: FakeCell,
+) -> None:
+    """Guards against callers who wait for an outcome that cannot come soon."""
+    spec = cell.spec(step(2, 5_000))
+    await cell.submit(spec)
+    await asyncio.sleep(0.5)
+    for name in cell.vms_by_name:
+        began_at = asyncio.get_running_loop().time()
+        assert await cell.state(spec.job_id, name) is JobState.RUNNING
+        assert asyncio.get_running_loop().time() - began_at <= VIEW_BOUND_S
+
+
 @with_cell(vms=30)
 async def test_vms_that_nobody_asks_read_rarely(cell: FakeCell) -> None:
     """Guards against reads of the job stream that grow with VMs times jobs."""
