--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -22,12 +21,7 @@
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.ranking import (
-    FairShares,
-    Rank,
-    rank,
-)
-from briarrun_cell.reservations import Reservations
+from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, Worker
 from briarrun_core.resources import NOTHING, Resources
@@ -35,6 +29,13 @@
 TICKET_MARGIN_S = 0.25
 """Remaining validity below which a ticket is renewed before use."""
 
+MAX_RESERVING_GANGS = 2
+"""Maximum number of waiting gangs with reserved workers, by rank."""
+
+MAX_RESERVATION_S = 6.0
+"""Maximum time for which workers are reserved for a gang. Without a limit, a gang that
+never fits would block all less urgent work."""
+
 MAX_BLOCKED_STEPS = 80
 """Number of steps without a placement after which a planning round ends."""
 
@@ -74,6 +75,8 @@
     largest: Resources
     renewal_limits: RenewalLimits
     pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
+    reserved: set[str] = field(default_factory=set)
+    reserving: int = 0
     blocked: int = 0
     gangs_kept_fresh: int = 0
     steps_kept_fresh: int = 0
@@ -89,7 +92,6 @@
         self._ledger = ledger
         self._count_vms = count_vms
         self._headroom = UrgentHeadroom()
-        self._reservations = Reservations(self._run_time_s)
         self.rates = ApprovalRates()
 
     def plan(self) -> Plan:
@@ -105,9 +107,6 @@
             largest_free(usable),
             RenewalLimits.for_vms(self._count_vms()),
         )
-        for reserved in self._reservations.renew(now):
-            if reserved.startable and not reserved.job.final:
-                self._reserve(reserved, self._approved(reserved, round_), round_)
         plan = Plan()
         for step_rank, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
@@ -151,13 +150,16 @@
             self._request_advice(step, step_rank, pool, round_, plan)
             if not step.advice.answered:
                 return
-            approved = self._approved(step, round_)
+            approved = [
+                w for w in pool if w.incarnation_id in step.advice.tickets_by_worker
+            ]
             ready = [w for w in approved if self._ticket_is_fresh(step, w, round_.now)]
         less_urgent = step.job.queue.priority > round_.urgent_priority
+        if less_urgent and round_.reserved:
+            ready = [w for w in ready if w.worker_id not in round_.reserved]
         chosen = self._choose_workers(step, ready, round_)
         if chosen:
             step.blocked_since = None
-            self._reservations.note_placed(step, [w for _, w in chosen], round_.now)
             if not less_urgent:
                 self._headroom.note_task(step.spec.need)
             if step.spec.gang:
@@ -166,7 +168,7 @@
                 runs = [self._ledger.place(step, index, w) for index, w in chosen]
             plan.placements.append(Placement(step, tuple(runs)))
         else:
-            self._mark_blocked(step, approved, round_)
+            self._mark_blocked(step, approved, less_urgent, round_)
         if advised and step.startable:
             self._renew_tickets(step, step_rank, approved, round_, plan)
 
@@ -194,13 +196,6 @@
             plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
             advice.request_in_flight = True
 
-    def _approved(self, step: Step, round_: _Round) -> list[Worker]:
-        """Return the usable workers that may run the step."""
-        pool = _pool_of(step, round_)
-        if step.job.queue.advice is None:
-            return pool
-        return [w for w in pool if w.incarnation_id in step.advice.tickets_by_worker]
-
     def _ticket_is_fresh(self, step: Step, worker: Worker, now: float) -> bool:
         ticket = step.advice.tickets_by_worker.get(worker.incarnation_id)
         return ticket is not None and now + TICKET_MARGIN_S <= ticket.expires_at
@@ -246,8 +241,6 @@
         """Return whether the tickets of the step are to be renewed in advance."""
         if self._tasks_within_limit(step) < 1:
             return False
-        if step in self._reservations:
-            return True
         if step.spec.gang:
             round_.gangs_kept_fresh += 1
             return round_.gangs_kept_fresh <= round_.renewal_limits.gangs
@@ -256,6 +249,10 @@
 
     # Capacity
 
+    def _available(self, worker: Worker, urgent: bool) -> Resources:
+        free = worker.free()
+        return free if urgent else free - self._headroom.kept_on(worker)
+
     def _tasks_within_limit(self, step: Step) -> int:
         """Return how many pending tasks the customer's limit allows to start."""
         name = step.job.spec.customer
@@ -303,50 +300,25 @@
         allowed: Iterable[Worker],
         round_: _Round,
     ) -> list[tuple[int, Worker]]:
-        return fit(step, indexes, self._available_by_worker(step, allowed, round_))
-
-    def _available_by_worker(
-        self, step: Step, workers: Iterable[Worker], round_: _Round
-    ) -> dict[Worker, Resources]:
-        if step.job.queue.priority <= round_.urgent_priority:
-            return {worker: worker.free() for worker in workers}
-        return {
-            worker: self._reservations.available(
-                step, worker, worker.free() - self._headroom.kept_on(worker), round_.now
-            )
-            for worker in workers
-        }
-
-    def _mark_blocked(self, step: Step, approved: list[Worker], round_: _Round) -> None:
-        """Record that the step has no placement; reserve capacity for a gang."""
+        urgent = step.job.queue.priority <= round_.urgent_priority
+        return fit(step, indexes, {w: self._available(w, urgent) for w in allowed})
+
+    def _mark_blocked(
+        self, step: Step, approved: list[Worker], less_urgent: bool, round_: _Round
+    ) -> None:
+        """Record that the step has no placement; reserve workers for the first gangs."""
         round_.blocked += 1
         if step.blocked_since is None:
             step.blocked_since = round_.now
-        self._reserve(step, approved, round_)
-
-    def _reserve(self, step: Step, approved: list[Worker], round_: _Round) -> None:
         if not step.spec.gang or self._tasks_within_limit(step) < step.spec.count:
             return
-        if step in self._reservations or not fits_when_empty(step, approved):
+        if not fits_when_empty(step, approved):
             return
-        self._reservations.reserve(
-            step,
-            self._available_by_worker(step, approved, round_),
-            self._expected_run_s,
-            round_.now,
-        )
-
-    def _run_time_s(self, step: Step) -> float:
-        """Return the expected run time of the tasks of a step."""
-        ratio = self._ledger.run_time_ratios.cautious(step.job.queue.name)
-        return step.spec.estimated_ms / 1000 * ratio
-
-    def _expected_run_s(self, run: Run) -> float:
-        """Return the expected run time of a run on its worker."""
-        step = self._ledger.step_of(run.task)
-        if step is None or step.spec.service:
-            return math.inf
-        return step.spec.estimated_ms / 1000 * run.worker.health.slowness
+        waited_s = round_.now - step.blocked_since
+        may_reserve = waited_s <= MAX_RESERVATION_S
+        if less_urgent and may_reserve and round_.reserving < MAX_RESERVING_GANGS:
+            round_.reserving += 1
+            round_.reserved.update(w.worker_id for w in approved)
 
 
 def _pool_of(step: Step, round_: _Round) -> list[Worker]:
