Bound the cost of a scheduling round by free VMs and requests

Cause: after an outage hundreds of steps wait for admission advice. Each request and each answer went through all queued calls and, for each of them, through all VMs; the first round chose candidates for all waiting steps at once. The holder was blocked for up to 3 s, so its claim ended, leases were renewed late and successors met the same backlog. Ruled out: the store; it answers in 4 ms while the elections follow each other. Change: calls wait in two heaps and a pass ends with the last free VM; a round makes at most 32 requests; free resources are measured again only after a placement.

--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
@@ -84,6 +85,7 @@
     """State of one entry VM as a caller of the advice service."""
 
     vm: EntryVm
+    index: int = 0
     busy: int = 0
     slow: bool = False
     paused_until: float = 0.0
@@ -111,6 +113,23 @@
     workers: tuple[Worker, ...] = field(compare=False)
     expected_s: float = field(compare=False)
 
+    @property
+    def slow(self) -> bool:
+        """Whether the call occupies a VM for so long that others are to be left."""
+        return self.expected_s > SLOW_CALL_S
+
+
+def _max_slow_calls(vms: int) -> int:
+    """Return how many of the VMs may make slow calls at the same time."""
+    return max(1, vms - max(1, int(vms * RESERVED_FOR_FAST_FRACTION)))
+
+
+def _choose_channel(free: list[_Channel], slow: bool) -> _Channel:
+    """Return the channel for a call; fast calls prefer the start of the list."""
+    if slow:
+        return max(free, key=lambda channel: channel.index)
+    return min(free, key=lambda channel: (channel.failures, channel.index))
+
 
 class AdviceDispatcher:
     """Dispatches advice requests to VMs and stores the tickets in the steps."""
@@ -129,7 +148,8 @@
         self._rates = rates
         self._on_answer = on_answer
         self._channels_by_vm: dict[str, _Channel] = {}
-        self._calls: list[_Call] = []
+        self._fast_calls: list[_Call] = []
+        self._slow_calls: list[_Call] = []
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -145,79 +165,80 @@
         open_request = _Request(step, len(parts))
         for part in parts:
             self._last_number += 1
-            self._calls.append(
-                _Call(
-                    request.rank,
-                    self._last_number,
-                    open_request,
-                    part,
-                    terms.call_s(len(part)),
-                )
+            call = _Call(
+                request.rank,
+                self._last_number,
+                open_request,
+                part,
+                terms.call_s(len(part)),
             )
+            heapq.heappush(self._slow_calls if call.slow else self._fast_calls, call)
         self._dispatch()
 
     def close(self) -> None:
         """Drop all queued requests and cancel calls in flight."""
-        self._calls.clear()
+        self._fast_calls.clear()
+        self._slow_calls.clear()
         if self._timer is not None:
             self._timer.cancel()
         for task in self._tasks:
             task.cancel()
 
     def _dispatch(self) -> None:
-        """Assign queued calls to free VMs."""
-        self._calls.sort()
-        channels = self._update_channels()
-        unassigned = []
-        for call in self._calls:
-            if call.request.step.job.final:
-                call.request.end_call()
-                continue
-            channel = self._free_channel(channels, call.expected_s > SLOW_CALL_S)
-            if channel is None:
-                unassigned.append(call)
-                continue
+        """Assign queued calls to free VMs, the highest rank first.
+
+        Load pattern: a backlog of hundreds of steps on a cell with many VMs. A pass ends
+        with the last free VM, so that its cost does not grow with the number of calls
+        that have to wait.
+        """
+        now = self._clock.now()
+        alive = [each for each in self._update_channels() if now >= each.paused_until]
+        free = [channel for channel in alive if not channel.busy]
+        slow_left = _max_slow_calls(len(alive)) - sum(
+            1 for channel in alive if channel.busy and channel.slow
+        )
+        while free:
+            call = self._pop_call(slow_allowed=slow_left > 0)
+            if call is None:
+                break
+            channel = _choose_channel(free, call.slow)
+            free.remove(channel)
+            slow_left -= call.slow
             channel.busy += 1
-            channel.slow = call.expected_s > SLOW_CALL_S
+            channel.slow = call.slow
             task = asyncio.get_running_loop().create_task(self._run(channel, call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        self._calls = unassigned
-        if unassigned and self._timer is None:
+        if (self._fast_calls or self._slow_calls) and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(RETRY_S, self._on_timer)
 
+    def _pop_call(self, slow_allowed: bool) -> _Call | None:
+        """Remove and return the call of the highest rank that may be made now."""
+        for queue in (self._fast_calls, self._slow_calls):
+            while queue and queue[0].request.step.job.final:
+                heapq.heappop(queue).request.end_call()
+        queues = [self._fast_calls] if self._fast_calls else []
+        if slow_allowed and self._slow_calls:
+            queues.append(self._slow_calls)
+        if not queues:
+            return None
+        return heapq.heappop(min(queues, key=lambda queue: queue[0]))
+
     def _on_timer(self) -> None:
         self._timer = None
         self._dispatch()
 
     def _update_channels(self) -> list[_Channel]:
+        """Return the channels of all VMs, in the order of the VMs."""
         vms = self._vms()
-        for vm in vms:
+        for index, vm in enumerate(vms):
             channel = self._channels_by_vm.get(vm.vm)
             if channel is None or channel.vm != vm:
-                self._channels_by_vm[vm.vm] = _Channel(vm)
+                channel = self._channels_by_vm[vm.vm] = _Channel(vm)
+            channel.index = index
         return [self._channels_by_vm[vm.vm] for vm in vms]
 
-    def _free_channel(self, channels: list[_Channel], slow: bool) -> _Channel | None:
-        now = self._clock.now()
-        alive = [channel for channel in channels if now >= channel.paused_until]
-        if slow:
-            busy = sum(1 for channel in alive if channel.busy and channel.slow)
-            if busy >= max(
-                1, len(alive) - max(1, int(len(alive) * RESERVED_FOR_FAST_FRACTION))
-            ):
-                return None
-        free = [channel for channel in alive if not channel.busy]
-        if not free:
-            return None
-        if slow:
-            # Fast calls prefer the start of the list, which is the holder's own VM.
-            return max(free, key=channels.index)
-        return min(
-            free, key=lambda channel: (channel.failures, channels.index(channel))
-        )
-
     async def _run(self, channel: _Channel, call: _Call) -> None:
         step = call.request.step
         sent_at = self._clock.now()
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -39,6 +39,10 @@
 MAX_BLOCKED_STEPS = 80
 """Number of steps without a placement after which a planning round ends."""
 
+MAX_ADVICE_REQUESTS = 32
+"""Maximum number of advice requests of one round. Choosing the candidates of a request
+takes a millisecond on a large cell; after an outage hundreds of steps wait for one."""
+
 _LOG = ComponentLog("holder")
 
 
@@ -77,6 +81,8 @@
     pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
+    kept_by_worker: dict[Worker, Resources] = field(default_factory=dict)
+    largest_is_exact: bool = True
     blocked: int = 0
     gangs_kept_fresh: int = 0
     steps_kept_fresh: int = 0
@@ -159,6 +165,7 @@
             ready = [w for w in ready if w.worker_id not in round_.reserved]
         chosen = self._choose_workers(step, ready, round_)
         if chosen:
+            round_.largest_is_exact = False
             step.blocked_since = None
             if not less_urgent:
                 self._headroom.note_task(step.spec.need)
@@ -188,6 +195,8 @@
             return
         if advice.answered and step.blocked_since is None:
             return
+        if len(plan.advice_requests) >= MAX_ADVICE_REQUESTS:
+            return
         unqueried = [w for w in pool if w.incarnation_id not in advice.queried]
         if advice.answered and not step.spec.gang:
             unqueried = [w for w in unqueried if task_capacity(step, w.free())]
@@ -249,9 +258,13 @@
 
     # Capacity
 
-    def _available(self, worker: Worker, urgent: bool) -> Resources:
-        free = worker.free()
-        return free if urgent else free - self._headroom.kept_on(worker)
+    def _available(self, worker: Worker, urgent: bool, round_: _Round) -> Resources:
+        if urgent:
+            return worker.free()
+        kept = round_.kept_by_worker.get(worker)
+        if kept is None:
+            kept = round_.kept_by_worker[worker] = self._headroom.kept_on(worker)
+        return worker.free() - kept
 
     def _tasks_within_limit(self, step: Step) -> int:
         """Return how many pending tasks the customer's limit allows to start."""
@@ -287,8 +300,9 @@
                 if len(chosen) == len(indexes):
                     return chosen
         chosen = self._fit(step, indexes, allowed, round_)
-        if not chosen:
+        if not chosen and not round_.largest_is_exact:
             round_.largest = largest_free(round_.usable)
+            round_.largest_is_exact = True
         if step.spec.gang and len(chosen) < step.spec.count:
             return []
         return chosen
@@ -301,7 +315,9 @@
         round_: _Round,
     ) -> list[tuple[int, Worker]]:
         urgent = step.job.queue.priority <= round_.urgent_priority
-        return fit(step, indexes, {w: self._available(w, urgent) for w in allowed})
+        return fit(
+            step, indexes, {w: self._available(w, urgent, round_) for w in allowed}
+        )
 
     def _mark_blocked(
         self, step: Step, approved: list[Worker], less_urgent: bool, round_: _Round
