Send submissions through the holder, which stores them in batches

The store refuses what would wait for more than 2 s, the holder's progress too, so nothing started from 4.6 s to 11.0 s and most submissions were refused. Change: VMs send records to the holder, whose writer batches them; without an answer they append themselves, and a write whose answer was lost is never reported as not run.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -16,7 +16,7 @@
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
 from briarrun_cell.election import Election
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable
-from briarrun_cell.frontend import Frontend
+from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.ledger import LeaseDurations
@@ -24,11 +24,12 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
-from briarrun_cell.record_writer import RecordWriter
+from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
 from briarrun_cell.settings import CellSettings
 from briarrun_cell.stream import JobStreamListener
 from briarrun_cell.tail import TopicTail
+from briarrun_cell.write_relay import RecordRelay, SubmissionWriter
 
 CONFIG_WAIT_S = 1.0
 """Long-poll time of a read of the configuration; keys are refused if it is too old."""
@@ -104,6 +105,7 @@
     store: Store
     workers: Workers
     advice_proxy: AdviceProxy
+    relay: RecordRelay
     config_decoder: ConfigDecoder
     entry_decoder: EntryDecoder
 
@@ -169,7 +171,7 @@
             self._config_tail,
             self.table,
             self._jobs_tail,
-            self._writer,
+            SubmissionWriter(self._writer, ports.relay, self._holder_address, clock),
             clock,
             settings.max_config_age_s,
         )
@@ -208,6 +210,13 @@
         )
         self._vms.on_change = self._set_claims_read_pause
 
+    def _holder_address(self) -> str | None:
+        return self.election.other_holder_address()
+
+    async def write_for_peer(self, record: Record) -> WriteOutcome:
+        """Store a record that another VM has accepted."""
+        return await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
+
     def _job_view_is_fresh(self) -> bool:
         return self._jobs_tail.age_s() <= READY_VIEW_AGE_S
 
--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -12,7 +12,7 @@
 from briarrun_cell.frontend import Frontend
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
-from briarrun_cell.peers import PeerAdviceProxy, PeerHandler
+from briarrun_cell.peers import PeerAdviceProxy, PeerHandler, PeerRecordRelay
 from briarrun_cell.ports import Advisor, Store, Workers
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
@@ -82,12 +82,14 @@
         self._clock = clock
         self._stopping = asyncio.Event()
         proxy = PeerAdviceProxy(settings.vm, adapters.advisor, HttpPool())
+        relay = PeerRecordRelay(HttpPool())
         self._core = CellCore(
             settings,
             CorePorts(
                 adapters.store,
                 adapters.workers,
                 proxy,
+                relay,
                 adapters.config_decoder,
                 adapters.entry_decoder,
             ),
@@ -113,7 +115,8 @@
         callers = HttpServer(handler, HttpLimits(max_body_bytes=MAX_BODY_BYTES))
         readiness = _ReadinessHandler(adapters.readiness_path, lambda: self.ready)
         await _bind(
-            HttpServer(PeerHandler(adapters.advisor)), self._settings.peer_address
+            HttpServer(PeerHandler(adapters.advisor, self._core.write_for_peer)),
+            self._settings.peer_address,
         )
         await _bind(callers, self._settings.callers_address)
         await _bind(HttpServer(readiness), self._settings.readiness_address)
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -45,6 +45,10 @@
 """Interval at which a candidate checks whether the term has ended, and pause before an
 unconfirmed renewal is repeated."""
 
+MAX_CLAIM_AGE_S = 2.0
+"""Age of the last claim that was read above which its holder counts as lost. It covers
+the pause between reads of the claims on a large cell, and a slow store."""
+
 HOLDER_KEY = "holder"
 
 _LOG = ComponentLog("holder")
@@ -138,6 +142,14 @@
         holder_term = self.holder_term
         return holder_term is not None and self._clock.now() < holder_term.valid_until
 
+    def other_holder_address(self) -> str | None:
+        """Return the peer address of a holder on another VM, None if none is known."""
+        claim = self._last_claim
+        if claim is None or claim.released or claim.vm == self._vm:
+            return None
+        age_s = self._clock.now() - self._last_claim_at
+        return claim.address if age_s <= MAX_CLAIM_AGE_S else None
+
     def on_snapshot(self, records: Sequence[Record], sent_at: float) -> None:
         """Apply the newest claim. Its age is unknown, so its term starts now."""
         if not records:
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -15,8 +15,9 @@
 from briarrun_cell.model import JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.outcome_wait import outcome_wait_s
 from briarrun_cell.ports import Record
-from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.tail import TopicTail
+from briarrun_cell.write_relay import SubmissionWriter
 
 WRITE_RETRY_S = 0.1
 """Time for which a refused write is retried. It is short because another VM may reach
@@ -88,7 +89,7 @@
         config_tail: TopicTail,
         table: JobTable,
         jobs_tail: TopicTail,
-        writer: RecordWriter,
+        writer: SubmissionWriter,
         clock: Clock,
         max_config_age_s: float,
     ) -> None:
--- a/packages/cell/src/briarrun_cell/record_writer.py
+++ b/packages/cell/src/briarrun_cell/record_writer.py
@@ -59,23 +59,35 @@
         self._wake = asyncio.Event()
 
     async def write(
-        self, record: Record, retry_refused_s: float, retry_in_doubt_s: float
+        self,
+        record: Record,
+        retry_refused_s: float,
+        retry_in_doubt_s: float,
+        *,
+        maybe_stored: bool = False,
     ) -> WriteOutcome:
         """Store one record and return the outcome.
 
         A refused write is retried for ``retry_refused_s`` seconds, a write that may
         have been stored for ``retry_in_doubt_s`` seconds. Returns ``NOT_STORED`` without
         sending anything if the last append timed out and the store has not answered
-        any read since.
+        any read since. ``maybe_stored`` tells that an earlier attempt may have stored
+        the record, which is then never reported as ``NOT_STORED``.
         """
         if self._last_answer_at() < self._unanswered_at:
-            return WriteOutcome.NOT_STORED
+            return WriteOutcome.UNKNOWN if maybe_stored else WriteOutcome.NOT_STORED
         answer: asyncio.Future[WriteOutcome] = (
             asyncio.get_running_loop().create_future()
         )
         now = self._clock.now()
         self._queue.append(
-            _PendingWrite(record, now + retry_refused_s, now + retry_in_doubt_s, answer)
+            _PendingWrite(
+                record,
+                now + retry_refused_s,
+                now + retry_in_doubt_s,
+                answer,
+                maybe_stored,
+            )
         )
         self._wake.set()
         return await answer
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -35,8 +35,10 @@
     WorkerAnswer,
     Workers,
 )
+from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
+from briarrun_cell.write_relay import RecordRelay
 from briarrun_core.resources import NOTHING, Resources
 from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
 from tools.emulator.cell.store import FakeStore, StoreView
@@ -44,6 +46,9 @@
 POOL = "planner"
 CONFIG_KEY = "config"
 
+RELAY_LATENCY_S = 0.002
+"""Time that a record takes from one VM to another."""
+
 CALL_DEADLINE_S = 3.0
 """Time after which a caller gives up."""
 
@@ -136,6 +141,40 @@
         return await found.advisor.advise(step, worker_ids, timeout_s)
 
 
+class DirectRelay(RecordRelay):
+    """Let another VM of the same cell store a record."""
+
+    def __init__(self, cell: FakeCell, sender: CellVm) -> None:
+        self._cell = cell
+        self._sender = sender
+
+    async def write_via(
+        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
+    ) -> WriteOutcome:
+        """Return the outcome, ``UNKNOWN`` if there is no answer in time."""
+        peer = self._cell.vms_by_name[address.partition(":")[0]]
+        await self._sender.store.running.wait()
+        if peer.core is None:
+            return WriteOutcome.NOT_STORED
+        # A frozen peer handles the call when it runs again.
+        call = asyncio.ensure_future(self._handle(peer, record))
+        try:
+            async with asyncio.timeout(timeout_s):
+                outcome = await asyncio.shield(call)
+        except TimeoutError:
+            return WriteOutcome.UNKNOWN
+        if self._cell.rng.random() < self._cell.lose_relay_answers:
+            return WriteOutcome.UNKNOWN
+        return outcome
+
+    async def _handle(self, peer: CellVm, record: Record) -> WriteOutcome:
+        await asyncio.sleep(RELAY_LATENCY_S)
+        await peer.store.running.wait()
+        if peer.core is None:
+            return await asyncio.Future()
+        return await peer.core.write_for_peer(record)
+
+
 @dataclass
 class CellOptions:
     """Choose the size of a cell."""
@@ -171,6 +210,7 @@
         self.number = 0
         self.number_of_starts = 0
         self.config_version = 0
+        self.lose_relay_answers = 0.0
 
     async def start(self) -> None:
         """Publish the configuration and the workers, and start every VM."""
@@ -272,6 +312,7 @@
                 vm.store,
                 GatedWorkers(self.fleet, vm),
                 DirectProxy(self),
+                DirectRelay(self, vm),
                 self.decoder,
                 self.decoder,
             ),
--- a/tools/emulator/cell/store.py
+++ b/tools/emulator/cell/store.py
@@ -39,12 +39,21 @@
     epochs: dict[str, int] = field(default_factory=dict)
     sequences: dict[str, dict[int, AppendResult]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    busy_until: float = 0.0
+
+
+MAX_APPEND_QUEUE_S = 2.0
+"""Time of waiting appends to a topic above which the store refuses further ones."""
 
 
 class FakeStore:
-    """Hold the topics; each VM reaches them through a ``StoreView``."""
+    """Hold the topics; each VM reaches them through a ``StoreView``.
+
+    A topic stores one append after the other, each of which takes ``append_s``.
+    """
 
     def __init__(self, rng: random.Random, latency_s: float = 0.004) -> None:
+        self.append_s = 0.0
         self.rng = rng
         self.latency_s = latency_s
         self.faults = StoreFaults()
@@ -78,6 +87,17 @@
         changed.set()
         return AppendResult(AppendOutcome.DONE, offset, len(topic.records))
 
+    async def queue_append(self, name: Topic) -> bool:
+        """Wait for the turn of an append; return False if too many wait."""
+        topic, now = self._topics[name], asyncio.get_running_loop().time()
+        queued_s = max(0.0, topic.busy_until - now)
+        if queued_s > MAX_APPEND_QUEUE_S:
+            return False
+        took_s = self.append_s * self.faults.slow_factor
+        topic.busy_until = now + queued_s + took_s
+        await asyncio.sleep(queued_s + took_s)
+        return True
+
     def apply(
         self,
         name: Topic,
@@ -170,6 +190,14 @@
                 await self._travel(timeout_s)
                 if store.faults.down or self.refused:
                     return AppendResult(AppendOutcome.REFUSED, detail="down")
+                if store.append_s:
+                    # An append that is waiting takes effect without its caller, too.
+                    turn = asyncio.ensure_future(
+                        self._append_in_turn(topic, list(records), at, producer)
+                    )
+                    queued = await asyncio.shield(turn)
+                    await self._travel(timeout_s)
+                    return queued
                 if rng.random() < store.faults.late_appends:
                     asyncio.get_running_loop().call_later(
                         store.faults.late_s, store.apply, topic, records, at, producer
@@ -184,6 +212,17 @@
             await self.running.wait()
             return AppendResult(AppendOutcome.UNKNOWN, detail="no answer")
 
+    async def _append_in_turn(
+        self,
+        topic: Topic,
+        records: Sequence[Record],
+        at: int | None,
+        producer: ProducerSequence | None,
+    ) -> AppendResult:
+        if not await self._store.queue_append(topic):
+            return AppendResult(AppendOutcome.REFUSED, detail="too many appends")
+        return self._store.apply(topic, records, at, producer)
+
     async def read(
         self, topic: Topic, start: int, *, wait_s: float, timeout_s: float
     ) -> ReadResult:
