Let a few VMs of each failure domain follow the job stream

Ruled out: the configuration, which every VM has within 0.1 s of its start. Change: the three largest VMs of each failure domain (six in all at least) follow jobs and workers and may become holder. The others accept submissions and ask the nearest replica for states and counts; they follow the stream themselves if no replica serves the cell for 5 s. A cell of up to nine VMs in three domains works as before. A store that is known to be silent is reported as an outcome of its own. Tests: the load order test is replaced by the choice of replicas and by a restart in which only replicas load; states and counts at other VMs with 0, 1 and 5 lost replicas; all replicas lost; an outage that makes no further replicas.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -14,18 +14,19 @@
 from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
-from briarrun_cell.election import Election
+from briarrun_cell.election import MAX_CLAIM_AGE_S, Election
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable
 from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
+from briarrun_cell.job_view import JobView, LocalJobView, PeerJobView, ReplicaClient
 from briarrun_cell.ledger import LeaseDurations
-from briarrun_cell.load_order import load_delay_s
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
+from briarrun_cell.replicas import choose_replicas, is_replica, nearest_first
 from briarrun_cell.settings import CellSettings
 from briarrun_cell.stream import JobStreamListener
 from briarrun_cell.tail import TopicTail
@@ -37,6 +38,9 @@
 JOBS_WAIT_S = 1.0
 """Long-poll time of a read of the job stream."""
 
+CLAIMS_WAIT_S = 1.0
+"""Long-poll time of a read of the claims, which come ten times a second."""
+
 RARE_TOPIC_WAIT_S = 5.0
 """Long-poll time of a read of a topic that changes rarely."""
 
@@ -66,8 +70,18 @@
 START_ORDER_VALIDITY_S = 2.0
 """Time after which a worker no longer carries out a start order."""
 
-VMS_LOAD_TIMEOUT_S = 0.4
-"""Maximum wait for the VMs and the claims before the jobs are loaded."""
+VMS_LOAD_TIMEOUT_S = 5.0
+"""Maximum wait for the VMs and the claims before a VM chooses its role."""
+
+ROLE_REVIEW_S = 0.2
+"""Interval at which a VM that is no replica checks whether the cell has a holder."""
+
+MAX_UNSERVED_S = 5.0
+"""Time without a holder, or without answers of replicas, after which another VM follows
+the job stream, so that it can become the holder. Time without the store is left out."""
+
+FIRST_REGISTRATIONS_S = 1.0
+"""Time in which all VMs of a cell that starts for the first time have registered."""
 
 REGISTER_RETRY_S = 0.3
 """Pause before a failed registration or background task is repeated."""
@@ -106,6 +120,7 @@
     workers: Workers
     advice_proxy: AdviceProxy
     relay: RecordRelay
+    replicas: ReplicaClient
     config_decoder: ConfigDecoder
     entry_decoder: EntryDecoder
 
@@ -166,10 +181,13 @@
             clock,
             lambda: max(self._jobs_tail.answered_at, self._config_tail.answered_at),
         )
+        self.local_view = LocalJobView(self.table, self._jobs_tail, clock)
+        self._peer_view = PeerJobView(ports.replicas, self._nearest_replicas, clock)
+        self._is_replica = asyncio.Event()
         self.frontend = Frontend(
             self.config,
             self._config_tail,
-            self.table,
+            self._job_view,
             self._jobs_tail,
             SubmissionWriter(self._writer, ports.relay, self._holder_address, clock),
             clock,
@@ -206,9 +224,9 @@
             eligible=self._job_view_is_fresh,
         )
         self._claims_tail = TopicTail(
-            store, Topic.HOLDER, self.election, clock, wait_s=RARE_TOPIC_WAIT_S
+            store, Topic.HOLDER, self.election, clock, wait_s=CLAIMS_WAIT_S
         )
-        self._vms.on_change = self._set_claims_read_pause
+        self._vms.on_change = self._on_vms
 
     def _holder_address(self) -> str | None:
         return self.election.other_holder_address()
@@ -223,10 +241,27 @@
     async def _confirm_claims(self) -> None:
         await self._claims_tail.refresh(CLAIMS_REFRESH_TIMEOUT_S)
 
-    def _set_claims_read_pause(self, vms: int) -> None:
+    def _on_vms(self, vms: int) -> None:
         read_pause_s = min(MAX_CLAIMS_READ_PAUSE_S, CLAIMS_READ_PAUSE_PER_VM_S * vms)
         self._claims_tail.read_pause_s = read_pause_s
 
+    # Replicas
+
+    @property
+    def is_replica(self) -> bool:
+        """Whether this VM follows the job stream, or has decided to do so."""
+        return self._is_replica.is_set()
+
+    def _job_view(self) -> JobView:
+        """Return the own view once it is loaded, and that of other VMs before."""
+        if self._jobs_tail.confirmed_at is not None:
+            return self.local_view
+        return self._peer_view
+
+    def _nearest_replicas(self) -> list[EntryVm]:
+        replicas = choose_replicas(self._vms.by_name.values())
+        return nearest_first(self._own_entry(), replicas)
+
     def _advice_vms(self) -> list[EntryVm]:
         """Return the VMs through which advice can be requested, this one first."""
         own = self._settings.vm
@@ -243,7 +278,7 @@
             self.config.loaded
             and not self.frontend.store_is_unreachable
             and self._config_tail.age_s() <= READY_CONFIG_AGE_S
-            and self._job_view_is_fresh()
+            and (self._job_view_is_fresh() or not self.is_replica)
         )
 
     def start(self) -> None:
@@ -264,49 +299,61 @@
         for name, tail in (
             ("config", self._config_tail),
             ("holder", self._claims_tail),
-            ("registry", self._registry_tail),
             ("vms", self._vms_tail),
         ):
             self._supervise(f"tail of {name}", tail.run)
         self._supervise("tail of jobs", self._follow_jobs)
+        self._supervise("tail of registry", self._follow_registry)
+        self._supervise("replica choice", self._choose_role)
 
     async def _follow_jobs(self) -> None:
-        await self._wait_for_load_turn()
+        await self._is_replica.wait()
         await self._jobs_tail.run()
 
-    def _own_entry(self) -> EntryVm:
-        return EntryVm(
-            vm=self._settings.vm,
-            address=self._settings.peer_address,
-            failure_domain=self._settings.failure_domain,
-            region=self._settings.region,
-            cores=self._settings.cores,
-        )
+    async def _follow_registry(self) -> None:
+        await self._is_replica.wait()
+        await self._registry_tail.run()
 
-    async def _wait_for_load_turn(self) -> None:
-        """Let the VMs that can become holder load the jobs first, if there is none."""
+    async def _choose_role(self) -> None:
+        """Become a replica if this VM is to be one, or if no replica serves the cell."""
         try:
             async with asyncio.timeout(VMS_LOAD_TIMEOUT_S):
                 await self._vms_tail.wait_for_offset(0)
                 await self._claims_tail.wait_for_offset(0)
         except TimeoutError:
             _LOG.warning("VMs and claims could not be read before the jobs")
-        delay_s = load_delay_s(
-            self._own_entry(),
-            self._vms.by_name.values(),
-            held_last=self.election.held_last,
+        if self._settings.vm not in self._vms.by_name:
+            # When a cell starts for the first time, its VMs register one by one.
+            await asyncio.sleep(FIRST_REGISTRATIONS_S)
+        chosen = is_replica(self._own_entry(), self._vms.by_name.values())
+        if chosen or self.election.held_last:
+            self._is_replica.set()
+            return
+        _LOG.info("asking replicas for jobs", vms=len(self._vms.by_name))
+        served_at = self._clock.now()
+        while self._clock.now() < served_at + MAX_UNSERVED_S:
+            await asyncio.sleep(ROLE_REVIEW_S)
+            if self.frontend.store_is_unreachable or self._replicas_serve():
+                served_at = self._clock.now()
+        _LOG.warning(
+            "following the job stream, since no replica serves the cell",
+            unheld_s=self.election.unheld_s(),
+        )
+        self._is_replica.set()
+
+    def _replicas_serve(self) -> bool:
+        """Return whether the cell has a holder and replicas answer questions."""
+        held = self.election.unheld_s() <= MAX_CLAIM_AGE_S
+        return held and not self._peer_view.failed_since(ROLE_REVIEW_S)
+
+    def _own_entry(self) -> EntryVm:
+        return EntryVm(
+            vm=self._settings.vm,
+            address=self._settings.peer_address,
+            failure_domain=self._settings.failure_domain,
+            region=self._settings.region,
+            cores=self._settings.cores,
         )
-        if delay_s:
-            _LOG.info(
-                "loading the jobs later unless there is a holder",
-                delay_s=delay_s,
-                vms=len(self._vms.by_name),
-            )
-            try:
-                async with asyncio.timeout(delay_s):
-                    await self.election.holder_seen.wait()
-            except TimeoutError:
-                return
 
     async def _register(self) -> None:
         """Publish the peer address of this VM in the store."""
--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -12,7 +12,12 @@
 from briarrun_cell.frontend import Frontend
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
-from briarrun_cell.peers import PeerAdviceProxy, PeerHandler, PeerRecordRelay
+from briarrun_cell.peers import (
+    PeerAdviceProxy,
+    PeerHandler,
+    PeerRecordRelay,
+    PeerReplicaClient,
+)
 from briarrun_cell.ports import Advisor, Store, Workers
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
@@ -90,6 +95,7 @@
                 adapters.workers,
                 proxy,
                 relay,
+                PeerReplicaClient(HttpPool()),
                 adapters.config_decoder,
                 adapters.entry_decoder,
             ),
@@ -115,7 +121,11 @@
         callers = HttpServer(handler, HttpLimits(max_body_bytes=MAX_BODY_BYTES))
         readiness = _ReadinessHandler(adapters.readiness_path, lambda: self.ready)
         await _bind(
-            HttpServer(PeerHandler(adapters.advisor, self._core.write_for_peer)),
+            HttpServer(
+                PeerHandler(
+                    adapters.advisor, self._core.write_for_peer, self._core.local_view
+                )
+            ),
             self._settings.peer_address,
         )
         await _bind(callers, self._settings.callers_address)
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -132,7 +132,6 @@
         self._topic_end: int | None = None
         self._last_claim_at = 0.0
         self._jitter_s = 0.0
-        self.holder_seen = asyncio.Event()
         self._renewal_pause_s = RENEWAL_INTERVAL_S
         self._round_trip_s = MAX_TERM_S
 
@@ -150,6 +149,12 @@
         age_s = self._clock.now() - self._last_claim_at
         return claim.address if age_s <= MAX_CLAIM_AGE_S else None
 
+    def unheld_s(self) -> float:
+        """Return for how long no claim has been read, 0 before the first read."""
+        if self._topic_end is None:
+            return 0.0
+        return self._clock.now() - self._last_claim_at
+
     def on_snapshot(self, records: Sequence[Record], sent_at: float) -> None:
         """Apply the newest claim. Its age is unknown, so its term starts now."""
         if not records:
@@ -159,8 +164,6 @@
 
     def on_records(self, records: Sequence[Record], sent_at: float) -> None:
         """Apply further claims, which show that a holder lives."""
-        if records:
-            self.holder_seen.set()
         for record in records:
             self._observe(record, record.offset + 1)
 
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -10,10 +11,9 @@
 from briarrun_cell import records
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
-from briarrun_cell.job_table import JobTable
+from briarrun_cell.job_view import JobView
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.model import JobSpec, JobState, Queue, StepSpec
-from briarrun_cell.outcome_wait import outcome_wait_s
+from briarrun_cell.model import FINAL_STATES, JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.tail import TopicTail
@@ -30,13 +30,6 @@
 """Time without an answer to a read after which the store counts as unreachable. It is
 longer than the long-poll time of a read."""
 
-MAX_VIEW_AGE_S = 2.6
-"""Maximum age of the job view at which an unknown job is reported as nonexistent."""
-
-VIEW_REFRESH_TIMEOUT_S = 0.12
-"""Timeout of a refresh of the job view, after which a request is answered from the
-present view."""
-
 RETRY_AFTER_S = 1
 """Retry-After of a reply while the store is unreachable."""
 
@@ -81,13 +74,16 @@
 
 
 class Frontend:
-    """Serves requests from the job table and writes changes to the store."""
+    """Serves requests from a job view and writes changes to the store.
+
+    ``jobs_tail`` does not run on a VM that asks replicas.
+    """
 
     def __init__(
         self,
         config: ConfigView,
         config_tail: TopicTail,
-        table: JobTable,
+        view: Callable[[], JobView],
         jobs_tail: TopicTail,
         writer: SubmissionWriter,
         clock: Clock,
@@ -95,7 +91,7 @@
     ) -> None:
         self._config = config
         self._config_tail = config_tail
-        self._table = table
+        self._view = view
         self._jobs_tail = jobs_tail
         self._writer = writer
         self._clock = clock
@@ -139,8 +135,7 @@
 
     async def submit(self, queue: Queue, customer: str, spec: JobSpec) -> Reply:
         """Store a job and return whether it was accepted."""
-        entry = self._table.by_id.get(spec.job_id)
-        if entry is not None and entry.spec is not None:
+        if self._view().known_state(spec.job_id) is not None:
             return Reply(RequestOutcome.ACCEPTED, detail="known", customer=customer)
         accepted = msgspec.structs.replace(
             spec, terms=queue, customer=customer, accepted_ms=self._clock.wall_ms()
@@ -161,20 +156,19 @@
 
     async def cancel(self, job_id: str, customer: str) -> Reply:
         """Store the cancellation of a job."""
-        entry = self._table.by_id.get(job_id)
-        if entry is None or not entry.final:
-            # Another VM may just have accepted the job, so the cancellation is stored
-            # before the job is looked up again.
-            record = records.cancellation_record(job_id, self._clock.wall_ms())
-            reply = await self._write(record)
-            await self._jobs_tail.refresh(VIEW_REFRESH_TIMEOUT_S)
-            _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
-            entry = self._table.by_id.get(job_id)
-            unknown = entry is None or entry.spec is None
-            if reply.request_outcome is RequestOutcome.ACCEPTED and unknown:
-                return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
-            return with_outcome(reply, RequestOutcome.CANCELLED, customer)
-        return Reply(RequestOutcome.CANCELLED, customer=customer)
+        view = self._view()
+        if view.known_state(job_id) in FINAL_STATES:
+            return Reply(RequestOutcome.CANCELLED, customer=customer)
+        # Another VM may just have accepted the job, so the cancellation is stored
+        # before the job is looked up again.
+        record = records.cancellation_record(job_id, self._clock.wall_ms())
+        reply = await self._write(record)
+        answer = await view.state(job_id, wait_for_outcome=False)
+        _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
+        unknown = answer.state is None and answer.current
+        if reply.request_outcome is RequestOutcome.ACCEPTED and unknown:
+            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        return with_outcome(reply, RequestOutcome.CANCELLED, customer)
 
     @property
     def store_is_unreachable(self) -> bool:
@@ -185,55 +179,40 @@
         return unanswered_s > STORE_UNREACHABLE_AFTER_S
 
     async def _write(self, record: Record) -> Reply:
-        if self.store_is_unreachable:
-            return Reply(
-                RequestOutcome.NOT_RUN,
-                retry_after_s=RETRY_AFTER_S,
-                detail="the store is unreachable",
-            )
-        outcome = await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
+        outcome = WriteOutcome.UNREACHABLE
+        if not self.store_is_unreachable:
+            outcome = await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
         if outcome is WriteOutcome.STORED:
             return Reply(RequestOutcome.ACCEPTED)
-        if outcome is WriteOutcome.NOT_STORED:
+        if outcome is not WriteOutcome.UNKNOWN:
+            refused = outcome is WriteOutcome.NOT_STORED
             return Reply(
                 RequestOutcome.NOT_RUN,
                 retry_after_s=RETRY_AFTER_S,
-                detail="the store refused the write",
+                detail=f"the store {'refused the write' if refused else 'is silent'}",
             )
         return Reply(RequestOutcome.IN_DOUBT, detail="the store did not answer")
 
     async def state(self, job_id: str, customer: str) -> Reply:
-        """Return the state of a job, after a refresh of the job view unless it is final.
+        """Return the newest state of a job.
 
         If the job may end soon, waits for the outcome for a short time.
         """
-        entry = self._table.by_id.get(job_id)
-        if entry is None or not entry.final:
-            await self._jobs_tail.refresh(VIEW_REFRESH_TIMEOUT_S)
-            entry = self._table.by_id.get(job_id)
-        wait_s = 0.0
-        if entry is not None and not self.store_is_unreachable:
-            wait_s = outcome_wait_s(entry, self._clock.wall_ms())
-        if wait_s:
-            with self._jobs_tail.followed():
-                await self._table.wait_for_outcome(job_id, wait_s)
-            entry = self._table.by_id.get(job_id)
-        if entry is None or entry.spec is None:
-            return self._unknown_job_reply()
-        return Reply(RequestOutcome.STATE, state=entry.state, customer=customer)
+        answer = await self._view().state(
+            job_id, wait_for_outcome=not self.store_is_unreachable
+        )
+        if answer.state is not None:
+            return Reply(RequestOutcome.STATE, state=answer.state, customer=customer)
+        if answer.current:
+            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        return self._stale_view_reply()
 
     async def count(self, queue: Queue, customer: str) -> Reply:
         """Return the number of accepted jobs of a queue with no started task."""
-        await self._jobs_tail.refresh(VIEW_REFRESH_TIMEOUT_S)
-        if self._jobs_tail.age_s() > MAX_VIEW_AGE_S:
-            return self._stale_view_reply()
-        waiting = self._table.waiting(queue.name)
-        return Reply(RequestOutcome.COUNT, count=waiting, customer=customer)
-
-    def _unknown_job_reply(self) -> Reply:
-        if self._jobs_tail.age_s() > MAX_VIEW_AGE_S:
+        answer = await self._view().count_waiting(queue.name)
+        if not answer.current:
             return self._stale_view_reply()
-        return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        return Reply(RequestOutcome.COUNT, count=answer.waiting, customer=customer)
 
     def _stale_view_reply(self) -> Reply:
         return Reply(
--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.model import JobSpec, JobState
+from briarrun_cell.model import FINAL_STATES, JobSpec, JobState
 from briarrun_cell.ports import Record
 from briarrun_cell.records import (
     Cancellation,
@@ -44,7 +44,7 @@
     @property
     def final(self) -> bool:
         """Whether the job has reached a final state."""
-        return self.state in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+        return self.state in FINAL_STATES
 
 
 class JobTable:
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/job_view.py
@@ -0,0 +1,192 @@
+"""What a VM tells callers about jobs: from its own table, or from a replica."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from briarrun_cell.clock import Clock
+from briarrun_cell.entry_vms import EntryVm
+from briarrun_cell.job_table import JobTable
+from briarrun_cell.logs import ComponentLog
+from briarrun_cell.model import JobState
+from briarrun_cell.outcome_wait import outcome_wait_s
+from briarrun_cell.tail import TopicTail
+
+MAX_VIEW_AGE_S = 2.6
+"""Maximum age of the job view at which an unknown job is reported as nonexistent."""
+
+VIEW_REFRESH_TIMEOUT_S = 0.12
+"""Timeout of a refresh of the job view, after which a request is answered from the
+present view."""
+
+PEER_TIMEOUT_S = 0.6
+"""Timeout of a question to a replica, which may wait for the outcome of the job."""
+
+MAX_PEERS_ASKED = 3
+"""Maximum number of replicas that are asked one after the other."""
+
+PEER_PAUSE_S = 1.0
+"""Time for which a replica is asked last after it did not answer."""
+
+_LOG = ComponentLog("front")
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """State of a job, None if it is not known.
+
+    Unless the view is ``current``, a job that is not known may exist nevertheless.
+    """
+
+    state: JobState | None
+    current: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CountAnswer:
+    """Number of jobs of a queue with no started task; invalid unless ``current``."""
+
+    waiting: int
+    current: bool
+
+
+class JobView(ABC):
+    """Source of the states of jobs."""
+
+    @abstractmethod
+    def known_state(self, job_id: str) -> JobState | None:
+        """Return the state of a job that is known without I/O."""
+
+    @abstractmethod
+    async def state(self, job_id: str, *, wait_for_outcome: bool) -> JobAnswer:
+        """Return the newest state of a job.
+
+        ``wait_for_outcome`` allows a short wait if the job may end soon.
+        """
+
+    @abstractmethod
+    async def count_waiting(self, queue: str) -> CountAnswer:
+        """Return the number of accepted jobs of a queue with no started task."""
+
+
+class LocalJobView(JobView):
+    """View of a replica, which follows the job stream."""
+
+    def __init__(self, table: JobTable, tail: TopicTail, clock: Clock) -> None:
+        self._table = table
+        self._tail = tail
+        self._clock = clock
+
+    def known_state(self, job_id: str) -> JobState | None:
+        """Return the state of a job in the table."""
+        entry = self._table.by_id.get(job_id)
+        return None if entry is None or entry.spec is None else entry.state
+
+    async def state(self, job_id: str, *, wait_for_outcome: bool) -> JobAnswer:
+        """Return the state after a refresh of the table, unless the job is final."""
+        entry = self._table.by_id.get(job_id)
+        if entry is None or not entry.final:
+            await self._tail.refresh(VIEW_REFRESH_TIMEOUT_S)
+            entry = self._table.by_id.get(job_id)
+        wait_s = 0.0
+        if entry is not None and wait_for_outcome:
+            wait_s = outcome_wait_s(entry, self._clock.wall_ms())
+        if wait_s:
+            with self._tail.followed():
+                await self._table.wait_for_outcome(job_id, wait_s)
+        return JobAnswer(self.known_state(job_id), self._is_current())
+
+    async def count_waiting(self, queue: str) -> CountAnswer:
+        """Return the number of waiting jobs after a refresh of the table."""
+        await self._tail.refresh(VIEW_REFRESH_TIMEOUT_S)
+        return CountAnswer(self._table.waiting(queue), self._is_current())
+
+    def _is_current(self) -> bool:
+        return self._tail.age_s() <= MAX_VIEW_AGE_S
+
+
+class PeerUnavailable(Exception):  # noqa: N818 - state of the peer, not a bug
+    """A replica did not answer a question."""
+
+
+class ReplicaClient(ABC):
+    """Client of the job views of other VMs; methods raise ``PeerUnavailable``."""
+
+    @abstractmethod
+    async def state_at(
+        self, vm: EntryVm, job_id: str, wait_for_outcome: bool, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state of a job as a replica knows it."""
+
+    @abstractmethod
+    async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
+        """Return the number of waiting jobs of a queue as a replica knows it."""
+
+
+class PeerJobView(JobView):
+    """View of a VM that follows no job stream and asks the nearest replicas.
+
+    ``replicas`` returns them in the order of preference.
+    """
+
+    def __init__(
+        self,
+        client: ReplicaClient,
+        replicas: Callable[[], list[EntryVm]],
+        clock: Clock,
+    ) -> None:
+        self._client = client
+        self._replicas = replicas
+        self._clock = clock
+        self._failed_at = float("-inf")
+        self._paused_until_by_vm: dict[str, float] = {}
+
+    def failed_since(self, seconds: float) -> bool:
+        """Return whether no replica could answer a question in the last seconds."""
+        return self._clock.now() <= self._failed_at + seconds
+
+    def known_state(self, job_id: str) -> JobState | None:
+        """Return None, since this VM knows no jobs."""
+        return None
+
+    async def state(self, job_id: str, *, wait_for_outcome: bool) -> JobAnswer:
+        """Return the answer of the first replica that knows the job or is current."""
+        for vm in self._candidates():
+            try:
+                answer = await self._client.state_at(
+                    vm, job_id, wait_for_outcome, PEER_TIMEOUT_S
+                )
+            except PeerUnavailable as error:
+                self._pause(vm, error)
+                continue
+            if answer.state is not None or answer.current:
+                return answer
+        self._failed_at = self._clock.now()
+        return JobAnswer(None, current=False)
+
+    async def count_waiting(self, queue: str) -> CountAnswer:
+        """Return the answer of the first replica with a current view."""
+        for vm in self._candidates():
+            try:
+                answer = await self._client.count_at(vm, queue, PEER_TIMEOUT_S)
+            except PeerUnavailable as error:
+                self._pause(vm, error)
+                continue
+            if answer.current:
+                return answer
+        self._failed_at = self._clock.now()
+        return CountAnswer(0, current=False)
+
+    def _candidates(self) -> list[EntryVm]:
+        now = self._clock.now()
+        replicas = sorted(
+            self._replicas(),
+            key=lambda vm: self._paused_until_by_vm.get(vm.vm, now) > now,
+        )
+        return replicas[:MAX_PEERS_ASKED]
+
+    def _pause(self, vm: EntryVm, error: PeerUnavailable) -> None:
+        self._paused_until_by_vm[vm.vm] = self._clock.now() + PEER_PAUSE_S
+        _LOG.warning("a replica did not answer", replica=vm.vm, detail=str(error))
--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -21,6 +21,9 @@
     CANCELLED = "cancelled"
 
 
+FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
 class EndKind(StrEnum):
     """Ways in which a run can end."""
 
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -1,15 +1,23 @@
-"""Calls between entry VMs: advice requests of the holder, and records for it to store."""
+"""Calls between entry VMs: advice for the holder, records to store, states of jobs."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 import msgspec
 
 from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.entry_vms import EntryVm
+from briarrun_cell.job_view import (
+    CountAnswer,
+    JobAnswer,
+    JobView,
+    PeerUnavailable,
+    ReplicaClient,
+)
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.model import StepId
+from briarrun_cell.model import JobState, StepId
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable, Advisor, Record
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.write_relay import RecordRelay
@@ -19,6 +27,10 @@
 
 ADVISE_PATH = "/v1/advise"
 RECORD_PATH = "/v1/record"
+STATE_PATH = "/v1/state"
+WAITING_PATH = "/v1/waiting"
+
+_Answer = TypeVar("_Answer")
 
 _LOG = ComponentLog("front")
 
@@ -53,6 +65,33 @@
     outcome: WriteOutcome
 
 
+class StateCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Question for the state of a job."""
+
+    job_id: str
+    wait_for_outcome: bool
+
+
+class StateAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a job; see ``JobAnswer``."""
+
+    state: JobState | None
+    current: bool
+
+
+class WaitingCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Question for the number of waiting jobs of a queue."""
+
+    queue: str
+
+
+class WaitingAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Number of waiting jobs; see ``CountAnswer``."""
+
+    waiting: int
+    current: bool
+
+
 class PeerHandler(HttpHandler):
     """HTTP handler of the calls from other VMs."""
 
@@ -60,32 +99,50 @@
         self,
         advisor: Advisor,
         write_record: Callable[[Record], Awaitable[WriteOutcome]],
+        view: JobView,
     ) -> None:
         self._advisor = advisor
         self._write_record = write_record
+        self._view = view
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle a call; status 502 means that the advice service is unavailable."""
-        match request.method, request.path:
-            case "POST", path if path == ADVISE_PATH:
-                return await self._advise(request)
-            case "POST", path if path == RECORD_PATH:
-                return await self._write(request)
-        return HttpResponse.of_error(404, "not-found", "no such call")
-
-    async def _write(self, request: HttpRequest) -> HttpResponse:
+        handle = {
+            ADVISE_PATH: self._advise,
+            RECORD_PATH: self._write,
+            STATE_PATH: self._state,
+            WAITING_PATH: self._waiting,
+        }.get(request.path)
+        if request.method != "POST" or handle is None:
+            return HttpResponse.of_error(404, "not-found", "no such call")
         try:
-            call = msgspec.json.decode(request.body, type=RecordCall)
+            return await handle(request.body)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             return HttpResponse.of_error(400, "invalid-request", str(error))
+
+    async def _write(self, body: bytes) -> HttpResponse:
+        call = msgspec.json.decode(body, type=RecordCall)
         outcome = await self._write_record(Record(call.key, call.value.encode()))
         return HttpResponse.of_json(200, RecordAnswer(outcome=outcome))
 
-    async def _advise(self, request: HttpRequest) -> HttpResponse:
-        try:
-            call = msgspec.json.decode(request.body, type=AdviseCall)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            return HttpResponse.of_error(400, "invalid-request", str(error))
+    async def _state(self, body: bytes) -> HttpResponse:
+        call = msgspec.json.decode(body, type=StateCall)
+        answer = await self._view.state(
+            call.job_id, wait_for_outcome=call.wait_for_outcome
+        )
+        return HttpResponse.of_json(
+            200, StateAnswer(state=answer.state, current=answer.current)
+        )
+
+    async def _waiting(self, body: bytes) -> HttpResponse:
+        call = msgspec.json.decode(body, type=WaitingCall)
+        answer = await self._view.count_waiting(call.queue)
+        return HttpResponse.of_json(
+            200, WaitingAnswer(waiting=answer.waiting, current=answer.current)
+        )
+
+    async def _advise(self, body: bytes) -> HttpResponse:
+        call = msgspec.json.decode(body, type=AdviseCall)
         step = StepId(call.job_id, call.occurrence, call.step)
         try:
             answer = await self._advisor.advise(step, call.worker_ids, call.timeout_s)
@@ -184,3 +241,46 @@
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             _LOG.warning("malformed answer to a relayed write", detail=str(error))
             return WriteOutcome.UNKNOWN
+
+
+class PeerReplicaClient(ReplicaClient):
+    """Asks replicas over HTTP."""
+
+    def __init__(self, pool: HttpPool) -> None:
+        self._pool = pool
+
+    async def state_at(
+        self, vm: EntryVm, job_id: str, wait_for_outcome: bool, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state of a job as a replica knows it."""
+        call = StateCall(job_id=job_id, wait_for_outcome=wait_for_outcome)
+        body = await self._ask(vm, STATE_PATH, msgspec.json.encode(call), timeout_s)
+        answer = _decode_answer(body, StateAnswer)
+        return JobAnswer(answer.state, answer.current)
+
+    async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
+        """Return the number of waiting jobs of a queue as a replica knows it."""
+        call = WaitingCall(queue=queue)
+        body = await self._ask(vm, WAITING_PATH, msgspec.json.encode(call), timeout_s)
+        answer = _decode_answer(body, WaitingAnswer)
+        return CountAnswer(answer.waiting, answer.current)
+
+    async def _ask(
+        self, vm: EntryVm, path: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        result = await self._pool.request(
+            vm.address, "POST", path, body=body, idempotent=True, timeout_s=timeout_s
+        )
+        if result.is_error():
+            self._pool.close_idle_connections(vm.address)
+            raise PeerUnavailable(result.error.detail)
+        if result.ok.status != 200:
+            raise PeerUnavailable(f"status {result.ok.status}")
+        return result.ok.body
+
+
+def _decode_answer(body: bytes, kind: type[_Answer]) -> _Answer:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise PeerUnavailable(f"malformed answer: {error}") from error
--- a/packages/cell/src/briarrun_cell/record_writer.py
+++ b/packages/cell/src/briarrun_cell/record_writer.py
@@ -22,10 +22,14 @@
 
 
 class WriteOutcome(StrEnum):
-    """Outcome of a write as reported to the caller."""
+    """Outcome of a write as reported to the caller.
+
+    After ``UNREACHABLE`` nothing was sent, since the store is silent.
+    """
 
     STORED = "stored"
     NOT_STORED = "not-stored"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
@@ -69,13 +73,13 @@
         """Store one record and return the outcome.
 
         A refused write is retried for ``retry_refused_s`` seconds, a write that may
-        have been stored for ``retry_in_doubt_s`` seconds. Returns ``NOT_STORED`` without
+        have been stored for ``retry_in_doubt_s`` seconds. Returns ``UNREACHABLE`` without
         sending anything if the last append timed out and the store has not answered
         any read since. ``maybe_stored`` tells that an earlier attempt may have stored
         the record, which is then never reported as ``NOT_STORED``.
         """
         if self._last_answer_at() < self._unanswered_at:
-            return WriteOutcome.UNKNOWN if maybe_stored else WriteOutcome.NOT_STORED
+            return WriteOutcome.UNKNOWN if maybe_stored else WriteOutcome.UNREACHABLE
         answer: asyncio.Future[WriteOutcome] = (
             asyncio.get_running_loop().create_future()
         )
--- a/packages/cell/src/briarrun_cell/write_relay.py
+++ b/packages/cell/src/briarrun_cell/write_relay.py
@@ -68,7 +68,7 @@
     ) -> WriteOutcome:
         """Store one record and return the outcome, as ``RecordWriter.write`` does."""
         outcome = await self._relayed(record)
-        if outcome is WriteOutcome.STORED:
+        if outcome in (WriteOutcome.STORED, WriteOutcome.UNREACHABLE):
             return outcome
         return await self._writer.write(
             record,
--- /dev/null
+++ b/tests/cell/test_replicas.py
@@ -0,0 +1,187 @@
+"""Tests of VMs that follow the job stream, and of those that ask them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from briarrun_cell.entry_vms import EntryVm
+from briarrun_cell.frontend import RequestOutcome
+from briarrun_cell.model import JobState
+from briarrun_cell.ports import Topic
+from briarrun_cell.replicas import (
+    MIN_REPLICAS,
+    REPLICAS_PER_DOMAIN,
+    choose_replicas,
+    is_replica,
+    nearest_first,
+)
+from tests.cell.running import with_cell
+from tools.emulator.cell.cell import FakeCell, step
+
+pytestmark = pytest.mark.looptime
+
+RESTART_BOUND_S = 3.0
+"""Stated target: time from the restart of all VMs to the next first start."""
+
+SMALL = {f"vm{n}": 0.5 for n in range(6, 30)}
+
+
+def _vms(domains: int, large: int, small: int) -> list[EntryVm]:
+    return [
+        EntryVm(
+            vm=f"{size}-{domain}-{number}",
+            address="",
+            failure_domain=f"fd{domain}",
+            region=f"r{domain % 3}",
+            cores=cores,
+        )
+        for domain in range(domains)
+        for size, count, cores in (("large", large, 2.0), ("small", small, 0.5))
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("domains", "large", "small", "replicas"),
+    [
+        (6, 3, 13, 18),
+        (6, 1, 6, 18),
+        (3, 0, 3, 9),
+        (3, 0, 2, 6),
+        (1, 2, 28, MIN_REPLICAS),
+        (1, 0, 2, 2),
+    ],
+)
+def test_replicas_are_the_largest_vms_of_every_domain(
+    domains: int, large: int, small: int, replicas: int
+) -> None:
+    """Guards against a loss of one domain that takes all replicas away."""
+    vms = _vms(domains, large, small)
+    chosen = choose_replicas(vms)
+    assert len(chosen) == replicas
+    names = {vm.vm for vm in chosen}
+    for domain in range(domains):
+        inside = [vm for vm in chosen if vm.failure_domain == f"fd{domain}"]
+        assert len(inside) >= min(REPLICAS_PER_DOMAIN, large + small)
+        assert {f"large-{domain}-{n}" for n in range(large)} <= names
+    assert [is_replica(vm, vms) for vm in vms] == [vm.vm in names for vm in vms]
+
+
+def test_nearest_replicas_are_asked_first() -> None:
+    """Guards against questions that go to another region while a near VM answers."""
+    vms = _vms(6, 3, 13)
+    own = next(vm for vm in vms if vm.vm == "small-4-7")
+    order = nearest_first(own, choose_replicas(vms))
+    assert [vm.failure_domain for vm in order[:3]] == ["fd4"] * 3
+    assert {vm.failure_domain for vm in order[3:6]} == {"fd1"}
+
+
+def _following(cell: FakeCell) -> set[str]:
+    return {
+        name
+        for name, vm in cell.vms_by_name.items()
+        if vm.core and vm.core.is_replica and vm.core.table.by_id
+    }
+
+
+@pytest.mark.parametrize("seed", range(3))
+@with_cell(vms=30, cores_by_vm=SMALL)
+async def test_only_replicas_load_the_jobs_after_a_loss_of_power(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against a recovery in which all VMs of a large cell load at once."""
+    await cell.submit(cell.spec(step(1, 100)))
+    await asyncio.sleep(1.0)
+    for name in cell.vms_by_name:
+        cell.kill_vm(name)
+    reads = {name: vm.store.reads for name, vm in cell.vms_by_name.items()}
+    for name in cell.vms_by_name:
+        cell.start_vm(name)
+    restarted_at = asyncio.get_running_loop().time()
+    while cell.holder() is None:
+        await asyncio.sleep(0.002)
+        ready = [vm.core.up_to_date for vm in cell.vms_by_name.values() if vm.core]
+        if asyncio.get_running_loop().time() - restarted_at > 0.5:
+            assert all(ready)
+    assert await _first_start_s(cell) <= RESTART_BOUND_S
+    await asyncio.sleep(4.0)
+    assert _following(cell) == {f"vm{n}" for n in range(6)}
+    read = {n: vm.store.reads - reads[n] for n, vm in cell.vms_by_name.items()}
+    assert max(read[f"vm{n}"] for n in range(6, 30)) < min(
+        read[f"vm{n}"] for n in range(6)
+    )
+
+
+async def _first_start_s(cell: FakeCell) -> float:
+    began_at = asyncio.get_running_loop().time()
+    spec = cell.spec(step(1, 100))
+    while (await cell.submit(spec)).request_outcome is not RequestOutcome.ACCEPTED:
+        await asyncio.sleep(0.02)
+    while spec.job_id not in cell.fleet.first_start_by_job:
+        await asyncio.sleep(0.01)
+    return asyncio.get_running_loop().time() - began_at
+
+
+@pytest.mark.parametrize("lost", [0, 1, 5])
+@with_cell(vms=12, cores_by_vm=SMALL)
+async def test_state_of_a_job_at_a_vm_that_is_no_replica(
+    cell: FakeCell, lost: int
+) -> None:
+    """Guards against a wrong state or "no such job" while some replicas are lost."""
+    await asyncio.sleep(2.0)
+    holder = await cell.wait_for_holder()
+    replicas = [f"vm{n}" for n in range(6) if f"vm{n}" != holder.name]
+    for name in replicas[:lost]:
+        cell.kill_vm(name)
+    spec = cell.spec(step(1, 300))
+    assert (await cell.submit(spec, "vm10")).request_outcome is RequestOutcome.ACCEPTED
+    core = cell.vms_by_name["vm11"].core
+    assert core is not None
+    seen = []
+    for _ in range(20):
+        reply = await core.frontend.state(spec.job_id, "roster")
+        assert reply.request_outcome in (RequestOutcome.STATE, RequestOutcome.NOT_RUN)
+        seen.append(reply.state)
+        await asyncio.sleep(0.1)
+    assert seen[-1] is JobState.COMPLETED
+    unknown = await core.frontend.state("ffffffffffffffff", "roster")
+    assert unknown.request_outcome is RequestOutcome.UNKNOWN_JOB
+    queue = spec.terms
+    assert (await core.frontend.count(queue, "roster")).count == 0
+    assert (await cell.cancel(spec, "vm11")).request_outcome is RequestOutcome.CANCELLED
+
+
+@with_cell(vms=12, cores_by_vm=SMALL)
+async def test_other_vms_replace_replicas_that_are_lost_for_good(
+    cell: FakeCell,
+) -> None:
+    """Guards against a cell that has no holder any more after a loss of all replicas."""
+    await asyncio.sleep(2.0)
+    spec = cell.spec(step(1, 6_000))
+    await cell.submit(spec)
+    for number in range(6):
+        cell.kill_vm(f"vm{number}")
+    await cell.wait_for_holder(8.0)
+    assert not await cell.finished({spec.job_id}, 12.0)
+
+
+@pytest.mark.parametrize("outage_s", [2.0, 5.0])
+@with_cell(vms=12, cores_by_vm=SMALL)
+async def test_outage_of_the_store_makes_no_further_replicas(
+    cell: FakeCell, outage_s: float
+) -> None:
+    """Guards against all VMs loading all jobs at once when the store is back."""
+    await asyncio.sleep(2.0)
+    spec = cell.spec(step(1, 100))
+    await cell.submit(spec)
+    cell.store.faults.silent = True
+    end_at = asyncio.get_running_loop().time() + outage_s
+    while asyncio.get_running_loop().time() < end_at:
+        await asyncio.gather(*(cell.state(spec.job_id, f"vm{n}") for n in range(6, 12)))
+        await asyncio.sleep(0.2)
+    cell.store.faults.silent = False
+    await asyncio.sleep(4.0)
+    assert _following(cell) == {f"vm{n}" for n in range(6)}
+    assert cell.store.values(Topic.JOBS)
--- a/tests/cell/test_write_relay.py
+++ b/tests/cell/test_write_relay.py
@@ -111,6 +111,7 @@
         (WriteOutcome.STORED, True, WriteOutcome.STORED),
         (WriteOutcome.NOT_STORED, False, WriteOutcome.STORED),
         (WriteOutcome.NOT_STORED, True, WriteOutcome.NOT_STORED),
+        (WriteOutcome.UNREACHABLE, False, WriteOutcome.UNREACHABLE),
         (WriteOutcome.UNKNOWN, False, WriteOutcome.STORED),
         (WriteOutcome.UNKNOWN, True, WriteOutcome.UNKNOWN),
     ],
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -14,6 +14,13 @@
 from briarrun_cell.core import CellCore, CorePorts
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.frontend import Reply, RequestOutcome
+from briarrun_cell.job_view import (
+    CountAnswer,
+    JobAnswer,
+    LocalJobView,
+    PeerUnavailable,
+    ReplicaClient,
+)
 from briarrun_cell.model import (
     AdviceTerms,
     CellConfig,
@@ -175,6 +182,37 @@
         return await peer.core.write_for_peer(record)
 
 
+class DirectReplicas(ReplicaClient):
+    """Ask another VM of the same cell."""
+
+    def __init__(self, cell: FakeCell, sender: CellVm) -> None:
+        self._cell = cell
+        self._sender = sender
+
+    async def state_at(
+        self, vm: EntryVm, job_id: str, wait_for_outcome: bool, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state as the replica knows it."""
+        view = await self._reach(vm)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await view.state(job_id, wait_for_outcome=wait_for_outcome)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{vm.vm} is silent") from error
+
+    async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
+        """Return the count as the replica knows it."""
+        return await (await self._reach(vm)).count_waiting(queue)
+
+    async def _reach(self, vm: EntryVm) -> LocalJobView:
+        await self._sender.store.running.wait()
+        await asyncio.sleep(RELAY_LATENCY_S)
+        peer = self._cell.vms_by_name[vm.vm]
+        if peer.core is None or not peer.store.running.is_set():
+            raise PeerUnavailable(f"{vm.vm} is down")
+        return peer.core.local_view
+
+
 @dataclass
 class CellOptions:
     """Choose the size of a cell."""
@@ -313,6 +351,7 @@
                 GatedWorkers(self.fleet, vm),
                 DirectProxy(self),
                 DirectRelay(self, vm),
+                DirectReplicas(self, vm),
                 self.decoder,
                 self.decoder,
             ),
