--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -189,7 +189,11 @@
             return Reply(
                 RequestOutcome.NOT_RUN,
                 retry_after_s=RETRY_AFTER_S,
-                detail=f"the store {'refused the write' if refused else 'is silent'}",
+                detail=(
+                    "the store refused the write"
+                    if refused
+                    else "the store is unreachable"
+                ),
             )
         return Reply(RequestOutcome.IN_DOUBT, detail="the store did not answer")
 
