Do not renew the tickets of a gang that its customer's limit does not admit

Ruled out: steps of single tasks, which may use a part of the limit. Change: tickets are renewed only if the limit admits a task, of a gang all tasks. Measured: the new test sees one request without the change and none with it.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -228,6 +228,8 @@
         if terms is None or advice.request_in_flight or round_.now < advice.retry_at:
             return
         soon = round_.now + terms.call_s(len(approved)) + TICKET_MARGIN_S
+        if not self._within_limit(step):
+            return
         stale = [
             w
             for w in approved
@@ -248,8 +250,6 @@
 
     def _keeps_tickets_fresh(self, step: Step, round_: _Round) -> bool:
         """Return whether the tickets of the step are to be renewed in advance."""
-        if self._tasks_within_limit(step) < 1:
-            return False
         if step.spec.gang:
             round_.gangs_kept_fresh += 1
             return round_.gangs_kept_fresh <= round_.renewal_limits.gangs
@@ -284,6 +284,11 @@
                 count = min(count, max(0, (bound - taken) // amount))
         return count
 
+    def _within_limit(self, step: Step) -> bool:
+        """Return whether the customer's limit allows a start: of a gang, all tasks."""
+        wanted = step.spec.count if step.spec.gang else 1
+        return self._tasks_within_limit(step) >= wanted
+
     def _choose_workers(
         self, step: Step, allowed: list[Worker], round_: _Round
     ) -> list[tuple[int, Worker]]:
--- a/tests/cell/test_worst_load.py
+++ b/tests/cell/test_worst_load.py
@@ -129,6 +129,28 @@
     assert sum(not each.step.spec.gang for each in requests) == steps
 
 
+@pytest.mark.parametrize(
+    ("tasks", "gang", "renewed"),
+    [(4, True, True), (5, True, False), (5, False, True)],
+)
+def test_tickets_of_a_gang_above_its_limit_are_not_renewed(
+    tasks: int, gang: bool, renewed: bool
+) -> None:
+    """Guards against calls for a gang that its customer's limit does not admit."""
+    ledger = make_ledger(workers=8, limit=Resources(cores=8000))
+    spec = StepSpec(count=tasks, need=Resources(2000, 10), gang=gang)
+    job(ledger, "waiting", spec, queue=ADVISED)
+    (step,) = ledger.jobs_by_id["waiting"].steps_by_id.values()
+    queried = [worker.incarnation_id for worker in ledger.workers_by_id.values()]
+    step.advice.answered = True
+    step.advice.queried = frozenset(queried)
+    step.advice.tickets_by_worker = {
+        each: Ticket("t", ledger.clock.now()) for each in queried
+    }
+    requests = Planner(ledger).plan().advice_requests
+    assert [each.step for each in requests] == ([step] if renewed else [])
+
+
 @pytest.mark.parametrize(
     ("ratios", "low", "high"),
     [
