--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -284,8 +284,16 @@
     vm = cell.holder() or rng.choice(list(cell.vms_by_name.values()))
     worker = rng.choice(list(cell.fleet.workers_by_address.values()))
     duration_s = rng.uniform(0.5, 5.0)
-    if fault in ("kill", "kill_all"):
-        names = [vm.name] if fault == "kill" else list(cell.vms_by_name)
+    if fault in ("kill", "kill_all", "kill_replicas"):
+        names = {
+            "kill": [vm.name],
+            "kill_all": list(cell.vms_by_name),
+            "kill_replicas": [
+                name
+                for name, each in cell.vms_by_name.items()
+                if each.core is None or each.core.is_replica
+            ],
+        }[fault]
         for name in names:
             cell.kill_vm(name)
         await asyncio.sleep(rng.uniform(0.3, 2.0))
@@ -308,6 +316,10 @@
         store.faults.lose_answers = 0.4
         await asyncio.sleep(duration_s)
         store.faults.lose_answers = 0.0
+    elif fault == "relay_lost":
+        cell.lose_relay_answers = 0.5
+        await asyncio.sleep(duration_s)
+        cell.lose_relay_answers = 0.0
     elif fault == "late":
         store.faults.late_appends = 0.3
         await asyncio.sleep(duration_s)
@@ -388,12 +400,25 @@
 @with_cell(vms=4, workers=6)
 async def test_overlapping_faults_break_no_promise(cell: FakeCell, seed: int) -> None:
     """Guards against violations under overlapping faults, chosen by the seed."""
+    await _survive(cell, FAULTS)
+
+
+@pytest.mark.parametrize("seed", range(100, 120))
+@with_cell(vms=10, workers=6, cores_by_vm={f"vm{n}": 0.5 for n in range(6, 10)})
+async def test_overlapping_faults_on_a_cell_with_few_replicas(
+    cell: FakeCell, seed: int
+) -> None:
+    """Guards against violations at VMs that write and ask through others."""
+    await _survive(cell, (*FAULTS, "relay_lost", "kill_replicas"))
+
+
+async def _survive(cell: FakeCell, kinds: tuple[str, ...]) -> None:
     rng = cell.rng
     load = asyncio.create_task(_run_load(cell, 15.0))
     faults = []
     for _ in range(8):
         await asyncio.sleep(rng.uniform(0.2, 2.5))
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(kinds)
         print(f"{asyncio.get_running_loop().time():.2f} {fault}")
         faults.append(asyncio.create_task(_inject_fault(cell, fault)))
     await asyncio.gather(load, *faults)
@@ -401,6 +426,7 @@
     assert not cell.accepted & cell.rejected - cell.accepted
     ran = set(cell.fleet.first_start_by_job)
     assert not ran & (cell.rejected - cell.accepted) - _repeated(cell)
+    assert not ran & (cell.rejected - cell.accepted - cell.in_doubt)
 
 
 def _repeated(cell: FakeCell) -> set[str]:
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -245,6 +245,7 @@
         self.vms_by_name: dict[str, CellVm] = {}
         self.accepted: set[str] = set()
         self.rejected: set[str] = set()
+        self.in_doubt: set[str] = set()
         self.number = 0
         self.number_of_starts = 0
         self.config_version = 0
@@ -411,7 +412,7 @@
         """Submit a job at a VM and note what the caller was told."""
         core = self._core(vm)
         if core is None:
-            return Reply(RequestOutcome.IN_DOUBT)
+            return Reply(RequestOutcome.IN_DOUBT)  # Nothing was sent.
         call = core.frontend.submit(spec.terms, spec.customer, spec)
         reply = await _within_deadline(call)
         if reply.request_outcome is RequestOutcome.ACCEPTED:
@@ -421,6 +422,8 @@
             RequestOutcome.NO_CONFIG,
         ):
             self.rejected.add(spec.job_id)
+        else:
+            self.in_doubt.add(spec.job_id)
         return reply
 
     async def cancel(self, spec: JobSpec, vm: str | None = None) -> Reply:
