Count tasks that an earlier holder may have started towards the limit

Tasks assigned to a worker that has not answered the new holder are not started again, but nothing was charged for them, so their customer started others beside them. Ruled out: runs that are being stopped and runs with a lapsed lease, which the ledger of one holder counts. Change: until the workers have answered or all leases have lapsed, such tasks count towards the customer's limit. Measured: the new test starts 3 tasks beside 2 unknown ones with a limit of 3 before, and 1 after; with the worker's answer 3 as before.

--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -190,6 +190,24 @@
             return False
         return self.clock.now() < self.began_at + self.lease_durations.longest_s
 
+    def uncertain_usage_by_customer(self) -> dict[str, Resources]:
+        """Return the resources of tasks that an earlier holder may have started.
+
+        Their workers have not answered this holder yet, so no run of them is charged.
+        """
+        usage: dict[str, Resources] = {}
+        if self.clock.now() >= self.began_at + self.lease_durations.longest_s:
+            return usage
+        for job in self.jobs_by_id.values():
+            name = job.spec.customer
+            for step in job.steps_by_id.values():
+                for index in step.progress.assigned_by_index:
+                    if index in step.pending and self.assignment_is_uncertain(
+                        step, index
+                    ):
+                        usage[name] = usage.get(name, NOTHING) + step.spec.need
+        return usage
+
     def startable(self, step: Step) -> list[int]:
         """Return the indexes of the tasks that may start; all or none of a gang."""
         free = sorted(step.pending)
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -98,6 +98,7 @@
         self._ledger = ledger
         self._count_vms = count_vms
         self._headroom = UrgentHeadroom()
+        self._uncertain_usage_by_customer: dict[str, Resources] = {}
         self.rates = ApprovalRates()
 
     def plan(self) -> Plan:
@@ -113,6 +114,7 @@
             largest_free(usable),
             RenewalLimits.for_vms(self._count_vms()),
         )
+        self._uncertain_usage_by_customer = ledger.uncertain_usage_by_customer()
         plan = Plan()
         for step_rank, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
@@ -274,6 +276,7 @@
         if customer is None:
             return count
         used = self._ledger.usage_by_customer.get(name, NOTHING)
+        used = used + self._uncertain_usage_by_customer.get(name, NOTHING)
         need, limit = step.spec.need, customer.limit
         for amount, bound, taken in (
             (need.cores, limit.cores, used.cores),
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -422,3 +422,29 @@
     poll(ledger, reborn, running=(RunReport(task, 7, "", 0, 0.0),))
     assert started(ledger) == []
     assert [run.number for run in reborn.runs_by_id.values()] == [7]
+
+
+@pytest.mark.parametrize(("answered", "startable"), [(False, 1), (True, 3)])
+def test_customer_limit_counts_tasks_that_an_earlier_holder_may_have_started(
+    answered: bool, startable: int
+) -> None:
+    """Guards against a customer above its limit after a takeover.
+
+    Two tasks were assigned to a worker that does not answer the new holder, so it is not
+    known whether they run there. The limit admits three.
+    """
+    ledger = make_ledger(2, limit=Resources(3000, 0))
+    silent = entry("silent")
+    (worker,) = ledger.set_workers(
+        [each.entry for each in ledger.workers_by_id.values()] + [silent], []
+    )
+    spec = StepSpec(count=5, need=Resources(1000, 1), estimated_ms=10)
+    assigned = StepProgress(assigned_by_index={0: "silent", 1: "silent"})
+    job_spec = JobSpec(
+        job_id="j1", terms=NORMAL, customer="c", payload="x", steps=(spec,)
+    )
+    progress = JobProgress(begun=True, steps_by_key={"0.0": assigned})
+    ledger.set_job("j1", JobEntry(spec=job_spec, progress=progress))
+    if answered:
+        poll(ledger, worker)
+    assert len(started(ledger)) == startable
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -251,8 +251,11 @@
         self.config_version = 0
         self.lose_relay_answers = 0.0
 
-    async def start(self) -> None:
-        """Publish the configuration and the workers, and start every VM."""
+    async def start(self, vm_start_interval_s: float = 0.0) -> None:
+        """Publish the configuration and the workers, and start every VM.
+
+        With an interval, the VMs start one after the other, the last one first.
+        """
         self.publish()
         for number in range(self.options.workers):
             self.add_worker(f"w{number}")
@@ -262,7 +265,11 @@
             self.vms_by_name[name] = CellVm(
                 name, view, FakeAdvisor(self.options.decision_s)
             )
+        names = list(self.vms_by_name)
+        for name in reversed(names) if vm_start_interval_s else names:
             self.start_vm(name)
+            if vm_start_interval_s:
+                await asyncio.sleep(vm_start_interval_s)
 
     def publish(self, **changes: object) -> None:
         """Write a configuration as the operator does."""
