Do not count the time of connecting in a test of late responses

Shown by a run that blocks the loop for 150 ms during the connect: the same error, connect-failed with sent false. Ruled out: the client; a response that is late is discarded as before. Change: the connection is open before the late request starts; the assertions are the same and one more. Two siblings connect within their time-out of 0.1 s and 0.2 s and get 1 s; what they assert is unchanged. A server of the peer tests that left open streams is replaced by the one of the client tests. Checked: red with a connection that counts as reusable in any state.

--- a/tests/cell/test_peers.py
+++ b/tests/cell/test_peers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import pytest
 
 from briarrun_cell.entry_vms import EntryVm
@@ -21,6 +19,7 @@
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_server import HttpServer
+from tests.test_http_client import ScriptedServer
 from tools.emulator.cell.fleet import FakeAdvisor
 
 
@@ -84,13 +83,9 @@
             address, record, send_within_s=1.0, timeout_s=2.0
         )
         assert answered is expected
-    silent = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    port = silent.sockets[0].getsockname()[1]
-    answered = await relay.write_via(
-        f"127.0.0.1:{port}", record, send_within_s=1.0, timeout_s=0.2
-    )
+    silent = await ScriptedServer(lambda *_: None).start()
+    answered = await relay.write_via(silent, record, send_within_s=1.0, timeout_s=1.0)
     assert answered is WriteOutcome.UNKNOWN
-    silent.close()
     await pool.close()
     await peer.server.close()
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -141,16 +141,18 @@
     """A late response must not be returned for the next request."""
 
     def script(connection: int, count: int) -> bytes | None:
-        return None if connection == 0 else OK
+        return None if (connection, count) == (0, 1) else OK
 
     served = ScriptedServer(script)
     address = await served.start()
     pool = HttpPool()
-    first = await post(pool, address, timeout_s=0.1)
-    assert first.is_error() and first.error.kind == KIND.TIMEOUT and first.error.sent
+    # The connection is open before the time of the late request starts.
+    assert (await post(pool, address, idempotent=True)).is_ok()
+    late = await post(pool, address, idempotent=True, timeout_s=0.1)
+    assert late.is_error() and late.error.kind == KIND.TIMEOUT and late.error.sent
     second = await post(pool, address, idempotent=True)
     assert second.is_ok() and second.ok.body == b"hi"
-    assert served.requests == [0, 1]
+    assert served.requests == [0, 0, 1]
     await asyncio.sleep(0.05)
     assert served.closed >= 1, "the silent connection must be closed"
     await pool.close()
@@ -197,7 +199,7 @@
     assert served.most_open <= 3 + 1  # the server may notice a close late
     silent = ScriptedServer(lambda *_: None)
     address = await silent.start()
-    waiting = [post(pool, address, timeout_s=0.2) for _ in range(5)]
+    waiting = [post(pool, address, timeout_s=1.0) for _ in range(5)]
     kinds = [result.error for result in await asyncio.gather(*waiting)]
     assert [k.sent for k in kinds].count(False) == 2
     assert {k.kind for k in kinds if not k.sent} == {KIND.CONNECTION_LIMIT}
@@ -233,7 +235,7 @@
     await asyncio.gather(task, return_exceptions=True)
     await asyncio.sleep(0.05)
     assert served.closed == 1
-    result = await post(pool, address, timeout_s=0.1)
+    result = await post(pool, address, timeout_s=1.0)
     assert result.error.kind == KIND.TIMEOUT, "the place in the pool must be free again"
     await pool.close()
 
