--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -85,7 +85,6 @@
     """State of one entry VM as a caller of the advice service."""
 
     vm: EntryVm
-    index: int = 0
     busy: int = 0
     slow: bool = False
     paused_until: float = 0.0
@@ -125,10 +124,11 @@
 
 
 def _choose_channel(free: list[_Channel], slow: bool) -> _Channel:
-    """Return the channel for a call; fast calls prefer the start of the list."""
-    if slow:
-        return max(free, key=lambda channel: channel.index)
-    return min(free, key=lambda channel: (channel.failures, channel.index))
+    """Return the channel for a call.
+
+    Fast calls prefer the start of the list, which is the holder's own VM.
+    """
+    return free[-1] if slow else min(free, key=lambda channel: channel.failures)
 
 
 class AdviceDispatcher:
@@ -232,11 +232,10 @@
     def _update_channels(self) -> list[_Channel]:
         """Return the channels of all VMs, in the order of the VMs."""
         vms = self._vms()
-        for index, vm in enumerate(vms):
+        for vm in vms:
             channel = self._channels_by_vm.get(vm.vm)
             if channel is None or channel.vm != vm:
-                channel = self._channels_by_vm[vm.vm] = _Channel(vm)
-            channel.index = index
+                self._channels_by_vm[vm.vm] = _Channel(vm)
         return [self._channels_by_vm[vm.vm] for vm in vms]
 
     async def _run(self, channel: _Channel, call: _Call) -> None:
--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -182,7 +182,10 @@
             lambda: max(self._jobs_tail.answered_at, self._config_tail.answered_at),
         )
         self.local_view = LocalJobView(self.table, self._jobs_tail, clock)
-        self._peer_view = PeerJobView(ports.replicas, self._nearest_replicas, clock)
+        self._nearest_replicas: list[EntryVm] = []
+        self._peer_view = PeerJobView(
+            ports.replicas, lambda: self._nearest_replicas, clock
+        )
         self._is_replica = asyncio.Event()
         self.frontend = Frontend(
             self.config,
@@ -244,6 +247,8 @@
     def _on_vms(self, vms: int) -> None:
         read_pause_s = min(MAX_CLAIMS_READ_PAUSE_S, CLAIMS_READ_PAUSE_PER_VM_S * vms)
         self._claims_tail.read_pause_s = read_pause_s
+        replicas = choose_replicas(self._vms.by_name.values())
+        self._nearest_replicas = nearest_first(self._own_entry(), replicas)
 
     # Replicas
 
@@ -258,10 +263,6 @@
             return self.local_view
         return self._peer_view
 
-    def _nearest_replicas(self) -> list[EntryVm]:
-        replicas = choose_replicas(self._vms.by_name.values())
-        return nearest_first(self._own_entry(), replicas)
-
     def _advice_vms(self) -> list[EntryVm]:
         """Return the VMs through which advice can be requested, this one first."""
         own = self._settings.vm
--- a/packages/cell/src/briarrun_cell/fitting.py
+++ b/packages/cell/src/briarrun_cell/fitting.py
@@ -34,14 +34,14 @@
     """Return how many tasks of a step fit into the available resources."""
     need = resources_per_task(step)
     most = None
-    if need.cores:
-        most = available.cores // need.cores
-    if need.memory_mib:
-        fitting = available.memory_mib // need.memory_mib
-        most = fitting if most is None else min(most, fitting)
-    if need.accelerators:
-        fitting = available.accelerators // need.accelerators
-        most = fitting if most is None else min(most, fitting)
+    for free_amount, amount in (
+        (available.cores, need.cores),
+        (available.memory_mib, need.memory_mib),
+        (available.accelerators, need.accelerators),
+    ):
+        if amount:
+            fitting = free_amount // amount
+            most = fitting if most is None else min(most, fitting)
     most = step.spec.count if most is None else max(0, most)
     if step.spec.max_per_worker:
         most = min(most, step.spec.max_per_worker)
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -163,11 +163,11 @@
         # before the job is looked up again.
         record = records.cancellation_record(job_id, self._clock.wall_ms())
         reply = await self._write(record)
-        answer = await view.state(job_id, wait_for_outcome=False)
         _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
-        unknown = answer.state is None and answer.current
-        if reply.request_outcome is RequestOutcome.ACCEPTED and unknown:
-            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        if reply.request_outcome is RequestOutcome.ACCEPTED:
+            answer = await view.state(job_id, wait_for_outcome=False)
+            if answer.state is None and answer.current:
+                return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
         return with_outcome(reply, RequestOutcome.CANCELLED, customer)
 
     @property
--- a/packages/cell/src/briarrun_cell/job_view.py
+++ b/packages/cell/src/briarrun_cell/job_view.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.entry_vms import EntryVm
@@ -30,6 +31,8 @@
 PEER_PAUSE_S = 1.0
 """Time for which a replica is asked last after it did not answer."""
 
+_Answer = TypeVar("_Answer")
+
 _LOG = ComponentLog("front")
 
 
@@ -153,31 +156,38 @@
 
     async def state(self, job_id: str, *, wait_for_outcome: bool) -> JobAnswer:
         """Return the answer of the first replica that knows the job or is current."""
-        for vm in self._candidates():
-            try:
-                answer = await self._client.state_at(
-                    vm, job_id, wait_for_outcome, PEER_TIMEOUT_S
-                )
-            except PeerUnavailable as error:
-                self._pause(vm, error)
-                continue
-            if answer.state is not None or answer.current:
-                return answer
-        self._failed_at = self._clock.now()
-        return JobAnswer(None, current=False)
+        answer = await self._ask(
+            lambda vm: self._client.state_at(
+                vm, job_id, wait_for_outcome, PEER_TIMEOUT_S
+            ),
+            lambda each: each.state is not None or each.current,
+        )
+        return answer or JobAnswer(None, current=False)
 
     async def count_waiting(self, queue: str) -> CountAnswer:
         """Return the answer of the first replica with a current view."""
+        answer = await self._ask(
+            lambda vm: self._client.count_at(vm, queue, PEER_TIMEOUT_S),
+            lambda each: each.current,
+        )
+        return answer or CountAnswer(0, current=False)
+
+    async def _ask(
+        self,
+        ask: Callable[[EntryVm], Awaitable[_Answer]],
+        usable: Callable[[_Answer], bool],
+    ) -> _Answer | None:
+        """Return the first usable answer of a replica, or None."""
         for vm in self._candidates():
             try:
-                answer = await self._client.count_at(vm, queue, PEER_TIMEOUT_S)
+                answer = await ask(vm)
             except PeerUnavailable as error:
                 self._pause(vm, error)
                 continue
-            if answer.current:
+            if usable(answer):
                 return answer
         self._failed_at = self._clock.now()
-        return CountAnswer(0, current=False)
+        return None
 
     def _candidates(self) -> list[EntryVm]:
         now = self._clock.now()
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -188,6 +188,10 @@
         worker_id = step.progress.assigned_by_index.get(index)
         if worker_id is None or worker_id in self._reported_workers:
             return False
+        return self._earlier_leases_may_hold()
+
+    def _earlier_leases_may_hold(self) -> bool:
+        """Return whether leases that an earlier holder gave may still be valid."""
         return self.clock.now() < self.began_at + self.lease_durations.longest_s
 
     def uncertain_usage_by_customer(self) -> dict[str, Resources]:
@@ -196,15 +200,14 @@
         Their workers have not answered this holder yet, so no run of them is charged.
         """
         usage: dict[str, Resources] = {}
-        if self.clock.now() >= self.began_at + self.lease_durations.longest_s:
+        if not self._earlier_leases_may_hold():
             return usage
         for job in self.jobs_by_id.values():
             name = job.spec.customer
             for step in job.steps_by_id.values():
-                for index in step.progress.assigned_by_index:
-                    if index in step.pending and self.assignment_is_uncertain(
-                        step, index
-                    ):
+                assigned = step.pending & step.progress.assigned_by_index.keys()
+                for index in assigned:
+                    if self.assignment_is_uncertain(step, index):
                         usage[name] = usage.get(name, NOTHING) + step.spec.need
         return usage
 
