--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -5,22 +5,13 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
-from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.clock import LoopClock
 from briarrun_cell.config_view import ConfigDecoder
 from briarrun_cell.core import CellCore, CorePorts
-from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.frontend import Reply, RequestOutcome
-from briarrun_cell.job_view import (
-    CountAnswer,
-    JobAnswer,
-    LocalJobView,
-    PeerUnavailable,
-    ReplicaClient,
-)
 from briarrun_cell.model import (
     AdviceTerms,
     CellConfig,
@@ -28,34 +19,27 @@
     JobSpec,
     JobState,
     Queue,
-    StepId,
     StepSpec,
     TaskId,
     WorkerEntry,
 )
 from briarrun_cell.ports import (
-    AdviceAnswer,
-    AdviceUnavailable,
     Record,
     StartOrder,
     Topic,
     WorkerAnswer,
     Workers,
 )
-from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
-from briarrun_cell.write_relay import RecordRelay
 from briarrun_core.resources import NOTHING, Resources
 from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
+from tools.emulator.cell.peers import DirectProxy, DirectRelay, DirectReplicas
 from tools.emulator.cell.store import FakeStore, StoreView
 
 POOL = "planner"
 CONFIG_KEY = "config"
 
-RELAY_LATENCY_S = 0.002
-"""Time that a record takes from one VM to another."""
-
 CALL_DEADLINE_S = 3.0
 """Time after which a caller gives up."""
 
@@ -131,88 +115,6 @@
     core: CellCore | None = None
 
 
-class DirectProxy(AdviceProxy):
-    """Ask through another VM of the same cell."""
-
-    def __init__(self, cell: FakeCell) -> None:
-        self._cell = cell
-
-    async def ask_via(
-        self, vm: EntryVm, step: StepId, worker_ids: Sequence[str], timeout_s: float
-    ) -> AdviceAnswer:
-        """Return the approved workers; raises ``AdviceUnavailable``."""
-        found = self._cell.vms_by_name[vm.vm]
-        if found.core is None:
-            await asyncio.sleep(timeout_s)
-            raise AdviceUnavailable(f"{vm.vm} is down")
-        return await found.advisor.advise(step, worker_ids, timeout_s)
-
-
-class DirectRelay(RecordRelay):
-    """Let another VM of the same cell store a record."""
-
-    def __init__(self, cell: FakeCell, sender: CellVm) -> None:
-        self._cell = cell
-        self._sender = sender
-
-    async def write_via(
-        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
-    ) -> WriteOutcome:
-        """Return the outcome, ``UNKNOWN`` if there is no answer in time."""
-        peer = self._cell.vms_by_name[address.partition(":")[0]]
-        await self._sender.store.running.wait()
-        if peer.core is None:
-            return WriteOutcome.NOT_STORED
-        # A frozen peer handles the call when it runs again.
-        call = asyncio.ensure_future(self._handle(peer, record))
-        try:
-            async with asyncio.timeout(timeout_s):
-                outcome = await asyncio.shield(call)
-        except TimeoutError:
-            return WriteOutcome.UNKNOWN
-        if self._cell.rng.random() < self._cell.lose_relay_answers:
-            return WriteOutcome.UNKNOWN
-        return outcome
-
-    async def _handle(self, peer: CellVm, record: Record) -> WriteOutcome:
-        await asyncio.sleep(RELAY_LATENCY_S)
-        await peer.store.running.wait()
-        if peer.core is None:
-            return await asyncio.Future()
-        return await peer.core.write_for_peer(record)
-
-
-class DirectReplicas(ReplicaClient):
-    """Ask another VM of the same cell."""
-
-    def __init__(self, cell: FakeCell, sender: CellVm) -> None:
-        self._cell = cell
-        self._sender = sender
-
-    async def state_at(
-        self, vm: EntryVm, job_id: str, wait_for_outcome: bool, timeout_s: float
-    ) -> JobAnswer:
-        """Return the state as the replica knows it."""
-        view = await self._reach(vm)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await view.state(job_id, wait_for_outcome=wait_for_outcome)
-        except TimeoutError as error:
-            raise PeerUnavailable(f"{vm.vm} is silent") from error
-
-    async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
-        """Return the count as the replica knows it."""
-        return await (await self._reach(vm)).count_waiting(queue)
-
-    async def _reach(self, vm: EntryVm) -> LocalJobView:
-        await self._sender.store.running.wait()
-        await asyncio.sleep(RELAY_LATENCY_S)
-        peer = self._cell.vms_by_name[vm.vm]
-        if peer.core is None or not peer.store.running.is_set():
-            raise PeerUnavailable(f"{vm.vm} is down")
-        return peer.core.local_view
-
-
 @dataclass
 class CellOptions:
     """Choose the size of a cell."""
