Show two guards of replicas that no test had seen

A view that is not current reports no missing job (new test), and an outage longer than the wait for replicas makes no further ones (9 s added to 2 s and 5 s).

--- a/tests/cell/test_replicas.py
+++ b/tests/cell/test_replicas.py
@@ -154,6 +154,21 @@
     assert (await cell.cancel(spec, "vm11")).request_outcome is RequestOutcome.CANCELLED
 
 
+@with_cell(vms=12, cores_by_vm=SMALL)
+async def test_replicas_without_the_store_know_of_no_missing_job(
+    cell: FakeCell,
+) -> None:
+    """Guards against "no such job" from replicas that can not see new jobs."""
+    await asyncio.sleep(2.0)
+    for number in range(6):
+        cell.vms_by_name[f"vm{number}"].store.cut = True
+    await asyncio.sleep(4.0)
+    core = cell.vms_by_name["vm11"].core
+    assert core is not None
+    reply = await core.frontend.state("ffffffffffffffff", "roster")
+    assert reply.request_outcome is RequestOutcome.NOT_RUN
+
+
 @with_cell(vms=12, cores_by_vm=SMALL)
 async def test_other_vms_replace_replicas_that_are_lost_for_good(
     cell: FakeCell,
@@ -168,7 +183,7 @@
     assert not await cell.finished({spec.job_id}, 12.0)
 
 
-@pytest.mark.parametrize("outage_s", [2.0, 5.0])
+@pytest.mark.parametrize("outage_s", [2.0, 5.0, 9.0])
 @with_cell(vms=12, cores_by_vm=SMALL)
 async def test_outage_of_the_store_makes_no_further_replicas(
     cell: FakeCell, outage_s: float
