Record why a step that is due is not placed

Callers saw accepted jobs that were not started beside free workers, and no log line or metric tells why. A planning round now notes the reason on the step, at most every 0.5 s for a step whose workers it has to look at: advice, approval, workers that are not usable, size, customer limit, capacity, headroom, tickets, reservation, or a round that ended before the step. The decisions stay the same.

--- a/packages/cell/src/briarrun_cell/fitting.py
+++ b/packages/cell/src/briarrun_cell/fitting.py
@@ -50,12 +50,17 @@
 
 def fits_when_empty(step: Step, workers: Iterable[Worker]) -> bool:
     """Return whether all tasks of the step would fit if the workers were idle."""
+    return tasks_fit(step, step.spec.count, (w.entry.capacity for w in workers))
+
+
+def tasks_fit(step: Step, count: int, free_amounts: Iterable[Resources]) -> bool:
+    """Return whether that many tasks fit into the resources of several workers."""
     total = 0
-    for worker in workers:
-        total += task_capacity(step, worker.entry.capacity)
-        if total >= step.spec.count:
+    for available in free_amounts:
+        total += task_capacity(step, available)
+        if total >= count:
             return True
-    return total >= step.spec.count
+    return total >= count
 
 
 def fit(
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -7,6 +7,7 @@
 
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
 from briarrun_cell.records import JobProgress, StepProgress, progress_key
+from briarrun_cell.waiting import Wait, WaitReason
 from briarrun_cell.workers import Run
 
 GANG = -1
@@ -46,6 +47,7 @@
     failed_on: set[str] = field(default_factory=set)
     remaining_s: float = 0.0
     blocked_since: float | None = None
+    wait: Wait | None = None
 
     @property
     def done(self) -> bool:
@@ -63,6 +65,14 @@
         """Return the active runs of the step."""
         return [run for runs in self.active.values() for run in runs]
 
+    def note_wait(self, reason: WaitReason, now: float) -> None:
+        """Record the reason for which the step is not placed."""
+        if self.wait is None:
+            self.wait = Wait(reason, now, now)
+        else:
+            self.wait.reason = reason
+            self.wait.checked_at = now
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -16,6 +16,7 @@
     largest_free,
     resources_per_task,
     task_capacity,
+    tasks_fit,
 )
 from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Step
@@ -23,6 +24,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
+from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import Run, Worker
 from briarrun_core.resources import NOTHING, Resources
 
@@ -43,6 +45,9 @@
 """Maximum number of advice requests of one round. Choosing the candidates of a request
 takes a millisecond on a large cell; after an outage hundreds of steps wait for one."""
 
+WAIT_CHECK_INTERVAL_S = 0.5
+"""Interval at which the reason is found out for which a step waits."""
+
 _LOG = ComponentLog("holder")
 
 
@@ -118,7 +123,8 @@
         plan = Plan()
         for step_rank, step in self._waiting(now, usable):
             if round_.blocked >= MAX_BLOCKED_STEPS:
-                break
+                step.note_wait(WaitReason.ROUND_END, now)
+                continue
             try:
                 self._plan_step(step, step_rank, round_, plan)
             except Exception as error:  # One job must not stop the planning of others.
@@ -157,6 +163,7 @@
         if advised:
             self._request_advice(step, step_rank, pool, round_, plan)
             if not step.advice.answered:
+                step.note_wait(WaitReason.ADVICE, round_.now)
                 return
             approved = [
                 w for w in pool if w.incarnation_id in step.advice.tickets_by_worker
@@ -168,7 +175,7 @@
         chosen = self._choose_workers(step, ready, round_)
         if chosen:
             round_.largest_is_exact = False
-            step.blocked_since = None
+            step.blocked_since = step.wait = None
             if not less_urgent:
                 self._headroom.note_task(step.spec.need)
             if step.spec.gang:
@@ -178,9 +185,57 @@
             plan.placements.append(Placement(step, tuple(runs)))
         else:
             self._mark_blocked(step, approved, less_urgent, round_)
+            self._note_wait(step, approved, round_)
         if advised and step.startable:
             self._renew_tickets(step, step_rank, approved, round_, plan)
 
+    def _note_wait(self, step: Step, approved: list[Worker], round_: _Round) -> None:
+        """Record why the step was not placed; it is not found out in every round."""
+        checked_at = step.wait.checked_at if step.wait else float("-inf")
+        if round_.now >= checked_at + WAIT_CHECK_INTERVAL_S:
+            step.note_wait(self._wait_reason(step, approved, round_), round_.now)
+
+    def _wait_reason(
+        self, step: Step, approved: list[Worker], round_: _Round
+    ) -> WaitReason:
+        """Return the first of the conditions for a placement that is not met."""
+        if not self._within_limit(step):
+            return WaitReason.CUSTOMER_LIMIT
+        count = step.spec.count if step.spec.gang else 1
+        if not tasks_fit(step, count, (w.entry.capacity for w in approved)):
+            return self._lack_of_workers(step, count)
+        if not tasks_fit(step, count, (w.free() for w in approved)):
+            return WaitReason.CAPACITY
+        urgent = step.job.queue.priority <= round_.urgent_priority
+        available = {w: self._available(w, urgent, round_) for w in approved}
+        if not tasks_fit(step, count, available.values()):
+            return WaitReason.HEADROOM
+        if step.job.queue.advice is not None:
+            fresh = [
+                free
+                for worker, free in available.items()
+                if self._ticket_is_fresh(step, worker, round_.now)
+            ]
+            if not tasks_fit(step, count, fresh):
+                return WaitReason.TICKETS
+        # The only other conditions are a reservation, and the number of tasks of the
+        # step that a worker may hold.
+        return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
+
+    def _lack_of_workers(self, step: Step, count: int) -> WaitReason:
+        """Return why the usable and approved workers are not enough for the step."""
+        pool = _in_pool(step, self._ledger.workers_by_id.values())
+        if step.job.queue.advice is not None:
+            if any(w.incarnation_id not in step.advice.queried for w in pool):
+                return WaitReason.ADVICE
+            tickets = step.advice.tickets_by_worker
+            pool = [w for w in pool if w.incarnation_id in tickets]
+            if not pool:
+                return WaitReason.NOT_APPROVED
+        if tasks_fit(step, count, (w.entry.capacity for w in pool)):
+            return WaitReason.WORKERS
+        return WaitReason.SIZE
+
     # Advice
 
     def _request_advice(
@@ -350,10 +405,15 @@
     key = (step.job.queue.pool, step.spec.required_label)
     pool = round_.pools.get(key)
     if pool is None:
-        pool = round_.pools[key] = [
-            worker
-            for worker in round_.usable
-            if worker.entry.pool == key[0]
-            and (not key[1] or key[1] in worker.entry.labels)
-        ]
+        pool = round_.pools[key] = _in_pool(step, round_.usable)
     return pool
+
+
+def _in_pool(step: Step, workers: Iterable[Worker]) -> list[Worker]:
+    """Return the workers in the pool of the step with the required label."""
+    pool, label = step.job.queue.pool, step.spec.required_label
+    return [
+        worker
+        for worker in workers
+        if worker.entry.pool == pool and (not label or label in worker.entry.labels)
+    ]
