Show four causes for which a job that could start is passed over

Callers see an accepted job that does not start although workers are idle (LOST).

- a gang that only lacks fresh tickets reserves all its approved workers;
- its approved workers are in quarantine, up to 30 s, while others are idle;
- it fits on its approved workers only without the capacity that is kept for urgent tasks, which is never given up.

--- a/tests/cell/test_waiting.py
+++ b/tests/cell/test_waiting.py
@@ -1,4 +1,4 @@
-"""Tests of the reasons for which steps wait."""
+"""Tests that a step which could start is not passed over, and of why a step waits."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Step, StepAdvice, Ticket
 from briarrun_cell.ledger import Ledger
@@ -22,6 +23,12 @@
 HUGE = StepSpec(need=Resources(9000, 10), estimated_ms=1000)
 """A task that is larger than any worker."""
 
+ROUND_S = 0.05
+"""Time between two scheduling rounds."""
+
+LOST_AFTER_S = 3.0
+"""Time for which a job that could run may wait in a cell that is not full."""
+
 TERMS = AdviceTerms(decision_s=0.1, per_worker_s=0.001, validity_s=1.5)
 
 
@@ -79,6 +86,22 @@
     return [placement.step.job.job_id for placement in plan.placements]
 
 
+@pytest.mark.parametrize("blocked", [79, 80, 200, 2000])
+@pytest.mark.parametrize("cause", ["customer at its limit", "larger than any worker"])
+def test_job_behind_many_that_can_not_start_is_started(
+    blocked: int, cause: str
+) -> None:
+    """Guards against a round that ends before a job although workers are idle (LOST)."""
+    ledger = _ledger(workers=20)
+    if cause == "customer at its limit":
+        _limit_customer(ledger)
+    step = SMALL if cause == "customer at its limit" else HUGE
+    for number in range(blocked):
+        job(ledger, f"b{number:04}", step, queue=URGENT)
+    _job_of_other_customer(ledger)
+    assert _placed(Planner(ledger).plan()) == ["zz"]
+
+
 def _queue(priority: int, *, advised: bool = False) -> Queue:
     return msgspec.structs.replace(
         NORMAL,
@@ -88,6 +111,70 @@
     )
 
 
+GANG = StepSpec(count=4, need=Resources(1000, 10), estimated_ms=1000, gang=True)
+
+
+def test_job_beside_a_gang_that_only_waits_for_tickets_is_started() -> None:
+    """Guards against idle workers that are all reserved for a gang (LOST)."""
+    ledger = _ledger(workers=4)
+    job(ledger, "gang", GANG, queue=_queue(1, advised=True))
+    _approve(ledger, _step(ledger, "gang"), ["w0", "w1", "w2", "w3"], validity_s=0.0)
+    _job_of_other_customer(ledger, queue=_queue(2))
+    assert _placed(Planner(ledger).plan()) == ["zz"]
+
+
+def _place_for(
+    ledger: Ledger, seconds: float, planner: Planner | None = None
+) -> list[str]:
+    """Plan rounds for a while, with polls of all workers; return what was placed."""
+    planner = planner or Planner(ledger)
+    assert isinstance(ledger.clock, ManualClock)
+    placed = []
+    for _ in range(round(seconds / ROUND_S)):
+        ledger.clock.time += ROUND_S
+        for worker in ledger.workers_by_id.values():
+            worker.contact_at = ledger.clock.now()
+        placed += _placed(planner.plan())
+    return placed
+
+
+@pytest.mark.parametrize("kind", ["task", "gang"])
+def test_job_whose_approved_workers_are_quarantined_is_started(kind: str) -> None:
+    """Guards against a job that waits for a quarantine of up to 30 s (LOST).
+
+    The workers failed tasks of other jobs, whose own fault it may have been. Other
+    workers are idle, but not approved for the step.
+    """
+    ledger = _ledger(workers=20)
+    step = _job_of_other_customer(
+        ledger, GANG if kind == "gang" else SMALL, _queue(1, advised=True)
+    )
+    _approve(ledger, step, ["w0", "w1"], validity_s=60.0)
+    for worker_id in ("w0", "w1"):
+        health = ledger.workers_by_id[worker_id].health
+        for _ in range(4):
+            health.quarantine(ledger.clock.now())
+    assert _place_for(ledger, LOST_AFTER_S) == ["zz"]
+
+
+def test_job_that_fits_only_beside_no_headroom_is_started() -> None:
+    """Guards against a job that waits while capacity is kept for urgent tasks (LOST)."""
+    ledger = _ledger(workers=20)
+    job(ledger, "urgent", StepSpec(need=Resources(4000, 10)), queue=URGENT)
+    planner, headroom = Planner(ledger), UrgentHeadroom()
+    assert _placed(planner.plan()) == ["urgent"]
+    headroom.note_task(Resources(4000, 10))
+    whole = StepSpec(need=Resources(8000, 10), estimated_ms=1000)
+    step = _job_of_other_customer(ledger, whole, _queue(1, advised=True))
+    kept = [
+        worker.worker_id
+        for worker in ledger.workers_by_id.values()
+        if not worker.runs_by_id and not headroom.kept_on(worker).is_zero
+    ]
+    _approve(ledger, step, kept, validity_s=60.0)
+    assert _place_for(ledger, LOST_AFTER_S, planner) == ["zz"]
+
+
 def _reason_of(ledger: Ledger, step: Step) -> WaitReason | None:
     plan = Planner(ledger).plan()
     assert step.job.job_id not in _placed(plan)
