Look at every waiting step in turn, however many are blocked before it

Callers saw an accepted job that did not start for seconds although most workers were idle. Cause: a round ended after 80 steps without a placement, in the order of rank, so that it never looked at the steps after them, in any round. A customer at its limit, or tasks larger than any worker, are enough for that, and say nothing about capacity.

A step whose customer is at its limit needs no look at workers; it is not counted and asks for no advice, which would be out of date when the limit admits it. Of the steps after the first 80 blocked ones, at least 40 are looked at in a round, those first whose last look is the longest ago, and all within 40 rounds (2 s).

The cost of a round is still bounded.

--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -35,7 +35,11 @@
 
 @dataclass(slots=True, eq=False)
 class Step:
-    """One occurrence of a step with its waiting, active and completed tasks."""
+    """One occurrence of a step with its waiting, active and completed tasks.
+
+    ``blocked_since`` is the time since which the step has found no workers, and
+    ``examined_at`` the time of the last round that looked for some.
+    """
 
     step_id: StepId
     job: Job
@@ -47,6 +51,7 @@
     failed_on: set[str] = field(default_factory=set)
     remaining_s: float = 0.0
     blocked_since: float | None = None
+    examined_at: float = float("-inf")
     wait: Wait | None = None
 
     @property
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -39,7 +41,17 @@
 never fits would block all less urgent work."""
 
 MAX_BLOCKED_STEPS = 80
-"""Number of steps without a placement after which a planning round ends."""
+"""Number of steps without a placement after which a round looks at no further workers
+in the order of rank. Steps whose customer is at its limit need no look at workers and
+do not count."""
+
+MIN_STEPS_IN_TURN = 40
+"""Number of later steps for which a round looks at workers all the same. They take
+turns, so that a step which fits is found however many others are blocked before it."""
+
+MAX_ROUNDS_BETWEEN_TURNS = 40
+"""Number of rounds in which each of the later steps has its turn, however many wait. At
+the longest interval between two rounds, 0.05 s, that is 2 s."""
 
 MAX_ADVICE_REQUESTS = 32
 """Maximum number of advice requests of one round. Choosing the candidates of a request
@@ -121,21 +133,31 @@
         )
         self._uncertain_usage_by_customer = ledger.uncertain_usage_by_customer()
         plan = Plan()
+        later = []
         for step_rank, step in self._waiting(now, usable):
-            if round_.blocked >= MAX_BLOCKED_STEPS:
-                step.note_wait(WaitReason.ROUND_END, now)
-                continue
-            try:
-                self._plan_step(step, step_rank, round_, plan)
-            except Exception as error:  # One job must not stop the planning of others.
-                _LOG.error(
-                    "could not plan a step",
-                    job=step.job.job_id,
-                    step=step.step_id.step,
-                    detail=repr(error),
-                )
+            if not self._within_limit(step):
+                step.note_wait(WaitReason.CUSTOMER_LIMIT, now)
+            elif round_.blocked < MAX_BLOCKED_STEPS:
+                self._try_plan_step(step, step_rank, round_, plan)
+            else:
+                later.append((step_rank, step))
+        for step_rank, step in _next_in_turn(later, round_):
+            self._try_plan_step(step, step_rank, round_, plan)
         return plan
 
+    def _try_plan_step(
+        self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
+    ) -> None:
+        try:
+            self._plan_step(step, step_rank, round_, plan)
+        except Exception as error:  # One job must not stop the planning of others.
+            _LOG.error(
+                "could not plan a step",
+                job=step.job.job_id,
+                step=step.step_id.step,
+                detail=repr(error),
+            )
+
     def _waiting(self, now: float, usable: list[Worker]) -> list[tuple[Rank, Step]]:
         ledger = self._ledger
         total = NOTHING
@@ -157,9 +179,10 @@
     def _plan_step(
         self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
     ) -> None:
+        step.examined_at = round_.now
         pool = _pool_of(step, round_)
         advised = step.job.queue.advice is not None
-        approved = ready = pool
+        approved = pool
         if advised:
             self._request_advice(step, step_rank, pool, round_, plan)
             if not step.advice.answered:
@@ -168,7 +191,10 @@
             approved = [
                 w for w in pool if w.incarnation_id in step.advice.tickets_by_worker
             ]
-            ready = [w for w in approved if self._ticket_is_fresh(step, w, round_.now)]
+        need = resources_per_task(step)
+        ready = [w for w in approved if need.fits_in(w.free())]
+        if advised:
+            ready = [w for w in ready if self._ticket_is_fresh(step, w, round_.now)]
         less_urgent = step.job.queue.priority > round_.urgent_priority
         if less_urgent and round_.reserved:
             ready = [w for w in ready if w.worker_id not in round_.reserved]
@@ -400,6 +426,30 @@
             round_.reserved.update(w.worker_id for w in approved)
 
 
+def _next_in_turn(
+    later: list[tuple[Rank, Step]], round_: _Round
+) -> list[tuple[Rank, Step]]:
+    """Return the steps after the first blocked ones that this round looks at, by rank.
+
+    These are the ones whose last look is the longest ago, of those that can be placed or
+    have to be asked about.
+    """
+    due = []
+    for number, (_, step) in enumerate(later):
+        unasked = step.job.queue.advice is not None and not step.advice.answered
+        if unasked and step.advice.request_in_flight:
+            step.note_wait(WaitReason.ADVICE, round_.now)
+        elif unasked or resources_per_task(step).fits_in(round_.largest):
+            if step.wait is None:
+                step.note_wait(WaitReason.TURN, round_.now)
+            due.append((step.examined_at, number))
+        else:
+            step.note_wait(WaitReason.CAPACITY, round_.now)
+    count = max(MIN_STEPS_IN_TURN, math.ceil(len(due) / MAX_ROUNDS_BETWEEN_TURNS))
+    chosen = heapq.nsmallest(count, due)
+    return [later[number] for number in sorted(number for _, number in chosen)]
+
+
 def _pool_of(step: Step, round_: _Round) -> list[Worker]:
     """Return the usable workers in the pool of the step with the required label."""
     key = (step.job.queue.pool, step.spec.required_label)
--- a/packages/cell/src/briarrun_cell/waiting.py
+++ b/packages/cell/src/briarrun_cell/waiting.py
@@ -40,8 +40,8 @@
     RESERVATION = "reservation"
     """Workers with free capacity that are reserved for a gang."""
 
-    ROUND_END = "round-end"
-    """A scheduling round that does not end before the step."""
+    TURN = "turn"
+    """Its turn: a round looks for workers for a limited number of blocked steps."""
 
 
 @dataclass(slots=True)
--- a/tests/cell/test_waiting.py
+++ b/tests/cell/test_waiting.py
@@ -102,6 +102,29 @@
     assert _placed(Planner(ledger).plan()) == ["zz"]
 
 
+@pytest.mark.parametrize("blocked", [79, 200, 2000])
+def test_job_behind_many_whose_workers_are_full_is_started(blocked: int) -> None:
+    """Guards against a round that ends before a job although workers are idle (LOST).
+
+    The steps before it fit on idle workers, but are not approved for these.
+    """
+    ledger = _ledger(workers=20)
+    full = StepSpec(count=2, need=Resources(8000, 10), estimated_ms=1000)
+    _approve(
+        ledger,
+        _step(ledger, job(ledger, "full", full, queue=_queue(0, advised=True)).job_id),
+        ["w0", "w1"],
+        validity_s=60.0,
+    )
+    planner = Planner(ledger)
+    assert _placed(planner.plan()) == ["full"]
+    for number in range(blocked):
+        spec = job(ledger, f"b{number:04}", queue=_queue(1, advised=True))
+        _approve(ledger, _step(ledger, spec.job_id), ["w0", "w1"], validity_s=60.0)
+    _job_of_other_customer(ledger, queue=_queue(2))
+    assert _place_for(ledger, LOST_AFTER_S, planner) == ["zz"]
+
+
 def _queue(priority: int, *, advised: bool = False) -> Queue:
     return msgspec.structs.replace(
         NORMAL,
