Reserve no more workers for a gang than it will occupy

Callers saw an accepted job that did not start although workers were idle. Cause: a gang that is blocked reserves all workers approved for it, up to 6 s, also if it fits on idle ones and only its tickets have to be renewed. On a large cell a renewal takes most of a second, and after one gang comes the next.

Evidence: test_job_beside_a_gang_that_only_waits_for_tickets_is_started, red before: four idle workers, none left for a job beside the gang. Such a gang now reserves the workers on which it fits; one that lacks capacity still reserves all, so that nothing else starts there before it is placed.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -423,7 +423,22 @@
         may_reserve = waited_s <= MAX_RESERVATION_S
         if less_urgent and may_reserve and round_.reserving < MAX_RESERVING_GANGS:
             round_.reserving += 1
-            round_.reserved.update(w.worker_id for w in approved)
+            reserved = self._workers_to_reserve(step, approved, round_)
+            round_.reserved.update(w.worker_id for w in reserved)
+
+    def _workers_to_reserve(
+        self, step: Step, approved: list[Worker], round_: _Round
+    ) -> Iterable[Worker]:
+        """Return the workers to reserve for a gang that is blocked.
+
+        A gang that only lacks tickets needs no more workers than it will occupy. If it
+        lacks capacity, it can be placed soonest if nobody else starts on any of them.
+        """
+        unreserved = [w for w in approved if w.worker_id not in round_.reserved]
+        chosen = self._fit(step, self._ledger.startable(step), unreserved, round_)
+        if len(chosen) < step.spec.count:
+            return approved
+        return {worker for _, worker in chosen}
 
 
 def _next_in_turn(
