Keep free capacity from a blocked step only while capacity is scarce

Callers saw an accepted job that did not start although workers that may run it were idle. Cause: a worker in quarantine (4 to 30 s after failed runs), the headroom for urgent tasks and the reservations of gangs are kept from a step however long it waits and however idle the cell is. On a cell with admission advice a step may have no other workers. Workers in quarantine were not even asked about, so a step whose pool failed a wave of tasks waited for an answer to a request that was never made.

Evidence, red before: test_job_whose_approved_workers_are_quarantined_is_started (2), test_job_that_fits_only_beside_no_headroom_is_started, test_workers_in_quarantine_are_asked_about.

A step that has been blocked for a second takes such capacity, too, if less than half of its pool is in use, or if its other workers could not hold it even when idle. While capacity is scarce all three hold as before. The reason of a wait now tells quarantine apart from a lack of capacity.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -57,6 +57,14 @@
 """Maximum number of advice requests of one round. Choosing the candidates of a request
 takes a millisecond on a large cell; after an outage hundreds of steps wait for one."""
 
+MAX_YIELD_S = 1.0
+"""Time for which a blocked step leaves free capacity to others, if the pool is not
+scarce: the headroom, workers reserved for gangs, and workers in quarantine."""
+
+SCARCE_FRACTION = 0.5
+"""Fraction of a pool in use from which capacity is scarce. Below it callers may expect
+that a job which could run does."""
+
 WAIT_CHECK_INTERVAL_S = 0.5
 """Interval at which the reason is found out for which a step waits."""
 
@@ -92,10 +100,12 @@
 class _Round:
     now: float
     usable: list[Worker]
+    quarantined: list[Worker]
     urgent_priority: int
     largest: Resources
     renewal_limits: RenewalLimits
     pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
+    scarce_by_pool: dict[str, bool] = field(default_factory=dict)
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
     kept_by_worker: dict[Worker, Resources] = field(default_factory=dict)
@@ -122,13 +132,15 @@
         """Plan one round: charge the runs to start, and collect the advice requests."""
         ledger = self._ledger
         now = ledger.clock.now()
-        usable = [w for w in ledger.workers_by_id.values() if w.usable(now)]
+        alive = [w for w in ledger.workers_by_id.values() if w.takes_orders(now)]
+        usable = [w for w in alive if not w.quarantined(now)]
         priorities = [q.priority for q in ledger.config.queues_by_name.values()]
         round_ = _Round(
             now,
             usable,
+            [w for w in alive if w.quarantined(now)],
             min(priorities, default=0),
-            largest_free(usable),
+            largest_free(alive),
             RenewalLimits.for_vms(self._count_vms()),
         )
         self._uncertain_usage_by_customer = ledger.uncertain_usage_by_customer()
@@ -181,6 +193,9 @@
     ) -> None:
         step.examined_at = round_.now
         pool = _pool_of(step, round_)
+        yields = self._yields(step, round_)
+        if not yields:
+            pool = pool + _in_pool(step, round_.quarantined)
         advised = step.job.queue.advice is not None
         approved = pool
         if advised:
@@ -196,9 +211,12 @@
         if advised:
             ready = [w for w in ready if self._ticket_is_fresh(step, w, round_.now)]
         less_urgent = step.job.queue.priority > round_.urgent_priority
+        left = [w for w in ready if not w.quarantined(round_.now)]
         if less_urgent and round_.reserved:
-            ready = [w for w in ready if w.worker_id not in round_.reserved]
-        chosen = self._choose_workers(step, ready, round_)
+            left = [w for w in left if w.worker_id not in round_.reserved]
+        chosen = self._choose_workers(step, left, round_, headroom=less_urgent)
+        if not chosen and not yields:
+            chosen = self._choose_workers(step, ready, round_, headroom=False)
         if chosen:
             round_.largest_is_exact = False
             step.blocked_since = step.wait = None
@@ -215,6 +233,31 @@
         if advised and step.startable:
             self._renew_tickets(step, step_rank, approved, round_, plan)
 
+    def _yields(self, step: Step, round_: _Round) -> bool:
+        """Return whether the step leaves free capacity to others.
+
+        Load pattern: a few jobs in a cell that is mostly idle, each approved for a few
+        workers only, and these are kept from it. While capacity is scarce that makes
+        way for others; otherwise the job would wait for nothing.
+        """
+        if step.blocked_since is None or round_.now < step.blocked_since + MAX_YIELD_S:
+            return True
+        if step.wait is not None and step.wait.reason is WaitReason.WORKERS:
+            return False
+        return self._is_scarce(step.job.queue.pool, round_)
+
+    def _is_scarce(self, pool: str, round_: _Round) -> bool:
+        scarce = round_.scarce_by_pool.get(pool)
+        if scarce is None:
+            total = used = NOTHING
+            for worker in (*round_.usable, *round_.quarantined):
+                if worker.entry.pool == pool:
+                    total = total + worker.entry.capacity
+                    used = used + worker.used
+            scarce = used.dominant_fraction(total) >= SCARCE_FRACTION
+            round_.scarce_by_pool[pool] = scarce
+        return scarce
+
     def _note_wait(self, step: Step, approved: list[Worker], round_: _Round) -> None:
         """Record why the step was not placed; it is not found out in every round."""
         checked_at = step.wait.checked_at if step.wait else float("-inf")
@@ -231,9 +274,9 @@
         if not tasks_fit(step, count, (w.entry.capacity for w in approved)):
             return self._lack_of_workers(step, count)
         if not tasks_fit(step, count, (w.free() for w in approved)):
-            return WaitReason.CAPACITY
-        urgent = step.job.queue.priority <= round_.urgent_priority
-        available = {w: self._available(w, urgent, round_) for w in approved}
+            return self._lack_of_capacity(step, count, approved, round_)
+        headroom = step.job.queue.priority > round_.urgent_priority
+        available = {w: self._available(w, round_, headroom=headroom) for w in approved}
         if not tasks_fit(step, count, available.values()):
             return WaitReason.HEADROOM
         if step.job.queue.advice is not None:
@@ -248,6 +291,19 @@
         # step that a worker may hold.
         return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
 
+    def _lack_of_capacity(
+        self, step: Step, count: int, approved: list[Worker], round_: _Round
+    ) -> WaitReason:
+        """Return why the approved workers have too little free capacity."""
+        quarantined = _in_pool(step, round_.quarantined)
+        if step.job.queue.advice is not None:
+            tickets = step.advice.tickets_by_worker
+            quarantined = [w for w in quarantined if w.incarnation_id in tickets]
+        free = [worker.free() for worker in {*approved, *quarantined}]
+        if tasks_fit(step, count, free):
+            return WaitReason.QUARANTINE
+        return WaitReason.CAPACITY
+
     def _lack_of_workers(self, step: Step, count: int) -> WaitReason:
         """Return why the usable and approved workers are not enough for the step."""
         pool = _in_pool(step, self._ledger.workers_by_id.values())
@@ -280,9 +336,10 @@
             return
         if len(plan.advice_requests) >= MAX_ADVICE_REQUESTS:
             return
-        unqueried = [w for w in pool if w.incarnation_id not in advice.queried]
-        if advice.answered and not step.spec.gang:
-            unqueried = [w for w in unqueried if task_capacity(step, w.free())]
+        unqueried = _unqueried(step, pool)
+        if not unqueried:
+            # Approval lasts longer than a quarantine.
+            unqueried = _unqueried(step, _in_pool(step, round_.quarantined))
         if unqueried:
             candidates = choose_candidates(step, unqueried, self.rates)
             plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
@@ -341,8 +398,11 @@
 
     # Capacity
 
-    def _available(self, worker: Worker, urgent: bool, round_: _Round) -> Resources:
-        if urgent:
+    def _available(
+        self, worker: Worker, round_: _Round, *, headroom: bool
+    ) -> Resources:
+        """Return the free resources, without the headroom if that is to be left."""
+        if not headroom:
             return worker.free()
         kept = round_.kept_by_worker.get(worker)
         if kept is None:
@@ -374,7 +434,7 @@
         return self._tasks_within_limit(step) >= wanted
 
     def _choose_workers(
-        self, step: Step, allowed: list[Worker], round_: _Round
+        self, step: Step, allowed: list[Worker], round_: _Round, *, headroom: bool
     ) -> list[tuple[int, Worker]]:
         """Return a worker for each task to start; for a gang, all or none."""
         if not resources_per_task(step).fits_in(round_.largest):
@@ -385,12 +445,12 @@
         if step.spec.same_rack:
             for rack in sorted({worker.entry.rack for worker in allowed}):
                 inside = [w for w in allowed if w.entry.rack == rack]
-                chosen = self._fit(step, indexes, inside, round_)
+                chosen = self._fit(step, indexes, inside, round_, headroom=headroom)
                 if len(chosen) == len(indexes):
                     return chosen
-        chosen = self._fit(step, indexes, allowed, round_)
+        chosen = self._fit(step, indexes, allowed, round_, headroom=headroom)
         if not chosen and not round_.largest_is_exact:
-            round_.largest = largest_free(round_.usable)
+            round_.largest = largest_free([*round_.usable, *round_.quarantined])
             round_.largest_is_exact = True
         if step.spec.gang and len(chosen) < step.spec.count:
             return []
@@ -402,10 +462,13 @@
         indexes: list[int],
         allowed: Iterable[Worker],
         round_: _Round,
+        *,
+        headroom: bool,
     ) -> list[tuple[int, Worker]]:
-        urgent = step.job.queue.priority <= round_.urgent_priority
         return fit(
-            step, indexes, {w: self._available(w, urgent, round_) for w in allowed}
+            step,
+            indexes,
+            {w: self._available(w, round_, headroom=headroom) for w in allowed},
         )
 
     def _mark_blocked(
@@ -435,12 +498,25 @@
         lacks capacity, it can be placed soonest if nobody else starts on any of them.
         """
         unreserved = [w for w in approved if w.worker_id not in round_.reserved]
-        chosen = self._fit(step, self._ledger.startable(step), unreserved, round_)
+        indexes = self._ledger.startable(step)
+        chosen = self._fit(step, indexes, unreserved, round_, headroom=True)
         if len(chosen) < step.spec.count:
             return approved
         return {worker for _, worker in chosen}
 
 
+def _unqueried(step: Step, workers: Iterable[Worker]) -> list[Worker]:
+    """Return the workers to ask the advice service about, beside those asked before.
+
+    Once some workers are approved, tasks that are no gang need only those with capacity.
+    """
+    advice = step.advice
+    unqueried = [w for w in workers if w.incarnation_id not in advice.queried]
+    if advice.answered and not step.spec.gang:
+        unqueried = [w for w in unqueried if task_capacity(step, w.free())]
+    return unqueried
+
+
 def _next_in_turn(
     later: list[tuple[Rank, Step]], round_: _Round
 ) -> list[tuple[Rank, Step]]:
--- a/packages/cell/src/briarrun_cell/waiting.py
+++ b/packages/cell/src/briarrun_cell/waiting.py
@@ -31,6 +31,9 @@
     CAPACITY = "capacity"
     """Free capacity."""
 
+    QUARANTINE = "quarantine"
+    """Free capacity, beside that of approved workers in quarantine."""
+
     HEADROOM = "headroom"
     """Free capacity, beside that which is kept for urgent tasks."""
 
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -158,15 +158,22 @@
 
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new runs."""
+        return self.takes_orders(now) and not self.quarantined(now)
+
+    def takes_orders(self, now: float) -> bool:
+        """Return whether the worker can start runs, as far as the holder knows."""
         return (
             self.inventory_known
             and self.registered
             and not self.dead
             and not self.entry.draining
             and now - self.contact_at <= MAX_CONTACT_AGE_S
-            and now >= self.health.quarantined_until
         )
 
+    def quarantined(self, now: float) -> bool:
+        """Return whether other workers are to be used, because of failed runs."""
+        return now < self.health.quarantined_until
+
     def leases_expired(self, now: float) -> bool:
         """Return whether all leases have expired without contact since then."""
         end = max(self.lease_end, self.requested_lease_end)
--- a/tests/cell/test_waiting.py
+++ b/tests/cell/test_waiting.py
@@ -161,6 +161,16 @@
     return placed
 
 
+def test_workers_in_quarantine_are_asked_about() -> None:
+    """Guards against a job that is never asked about, as all workers failed (LOST)."""
+    ledger = _ledger(workers=4)
+    step = _job_of_other_customer(ledger, queue=_queue(1, advised=True))
+    for worker in ledger.workers_by_id.values():
+        worker.health.quarantine(ledger.clock.now())
+    (request,) = Planner(ledger).plan().advice_requests
+    assert request.step is step and len(request.workers) == 4
+
+
 @pytest.mark.parametrize("kind", ["task", "gang"])
 def test_job_whose_approved_workers_are_quarantined_is_started(kind: str) -> None:
     """Guards against a job that waits for a quarantine of up to 30 s (LOST).
@@ -235,6 +245,12 @@
     return _job_of_other_customer(ledger)
 
 
+def _waits_for_quarantine(ledger: Ledger) -> Step:
+    ledger.workers_by_id["w0"].health.quarantine(ledger.clock.now())
+    job(ledger, "filler", StepSpec(count=8, need=Resources(8000, 10)), queue=URGENT)
+    return _job_of_other_customer(ledger)
+
+
 def _waits_for_tickets(ledger: Ledger) -> Step:
     step = _waits_for_advice(ledger)
     _approve(ledger, step, ["w0", "w1"], validity_s=0.0)
@@ -258,6 +274,7 @@
         (_waits_for_size, WaitReason.SIZE),
         (_waits_for_limit, WaitReason.CUSTOMER_LIMIT),
         (_waits_for_capacity, WaitReason.CAPACITY),
+        (_waits_for_quarantine, WaitReason.QUARANTINE),
         (_waits_for_tickets, WaitReason.TICKETS),
         (_waits_for_reservation, WaitReason.RESERVATION),
     ],
