Take no more than a quarter of the workers away for failed runs

Callers saw jobs that waited beside idle workers, and a cell without workers after a wave of jobs whose tasks fail by their own fault: every worker that ran three of them in a row was put into quarantine, so all of them at once.

Evidence: test_wave_of_failing_jobs_takes_few_workers_away, red before with 10 and 20 of 20 workers. The fraction is that of the workers that take orders; the ones with the longest quarantines, which failed most often, are left out (test_worst_workers_stay_in_quarantine). The former check of a single worker in test_ledger asks the function that replaces Worker.usable; it is as strict, since a worker that is among the worst gets no task, as the line after it checks.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -27,7 +27,7 @@
 from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.waiting import WaitReason
-from briarrun_cell.workers import Run, Worker
+from briarrun_cell.workers import Run, Worker, worst_in_quarantine
 from briarrun_core.resources import NOTHING, Resources
 
 TICKET_MARGIN_S = 0.25
@@ -133,12 +133,14 @@
         ledger = self._ledger
         now = ledger.clock.now()
         alive = [w for w in ledger.workers_by_id.values() if w.takes_orders(now)]
-        usable = [w for w in alive if not w.quarantined(now)]
+        quarantined = worst_in_quarantine(alive, now)
+        left_out = set(quarantined)
+        usable = [w for w in alive if w not in left_out]
         priorities = [q.priority for q in ledger.config.queues_by_name.values()]
         round_ = _Round(
             now,
             usable,
-            [w for w in alive if w.quarantined(now)],
+            quarantined,
             min(priorities, default=0),
             largest_free(alive),
             RenewalLimits.for_vms(self._count_vms()),
@@ -211,7 +213,7 @@
         if advised:
             ready = [w for w in ready if self._ticket_is_fresh(step, w, round_.now)]
         less_urgent = step.job.queue.priority > round_.urgent_priority
-        left = [w for w in ready if not w.quarantined(round_.now)]
+        left = [w for w in ready if w not in round_.quarantined]
         if less_urgent and round_.reserved:
             left = [w for w in left if w.worker_id not in round_.reserved]
         chosen = self._choose_workers(step, left, round_, headroom=less_urgent)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -26,6 +27,10 @@
 MAX_QUARANTINE_S = 30.0
 """Maximum duration of a quarantine."""
 
+MAX_QUARANTINED_FRACTION = 0.25
+"""Maximum fraction of the workers that is in quarantine. If more of them fail tasks, the
+tasks are to blame, and without workers everything else would wait, too."""
+
 SLOWNESS_WEIGHT = 0.3
 """Weight of the latest run time in the slowness of a worker."""
 
@@ -156,10 +161,6 @@
         self.entry = entry
         self._free = None
 
-    def usable(self, now: float) -> bool:
-        """Return whether the worker may get new runs."""
-        return self.takes_orders(now) and not self.quarantined(now)
-
     def takes_orders(self, now: float) -> bool:
         """Return whether the worker can start runs, as far as the holder knows."""
         return (
@@ -210,3 +211,15 @@
             self.count_by_step[key] = left
         else:
             self.count_by_step.pop(key, None)
+
+
+def worst_in_quarantine(workers: Collection[Worker], now: float) -> list[Worker]:
+    """Return the workers to leave out because of failed runs.
+
+    Load pattern: a wave of jobs whose tasks fail by their own fault, on all workers. The
+    workers with the longest quarantines, which failed most often, are left out.
+    """
+    quarantined = [worker for worker in workers if worker.quarantined(now)]
+    quarantined.sort(key=lambda worker: -worker.health.quarantined_until)
+    most = max(1, int(len(workers) * MAX_QUARANTINED_FRACTION))
+    return quarantined[:most]
