Explain from the ledger why steps are not started

The planner notes a reason on each step that it passes over, but only there: operators could not see it, and steps that the planner does not look at had none.

A pure module now summarizes the waiting steps by reason, with their oldest ages and the eight that wait longest, and explains a job in one line for each step. Two reasons are its own: "earlier-holder" for tasks that an earlier holder may have started, and "unexamined" for steps that no round has looked at, e.g. while rounds fail. Nothing calls it yet.

--- /dev/null
+++ b/packages/cell/src/briarrun_cell/explanation.py
@@ -0,0 +1,312 @@
+"""Explanations of why steps are not started, from the ledger of the holder. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime
+from enum import StrEnum
+from heapq import nsmallest
+
+from briarrun_cell.job_table import JobEntry
+from briarrun_cell.jobs import Job, Step
+from briarrun_cell.ledger import Ledger
+from briarrun_cell.model import StepId
+from briarrun_cell.waiting import WaitReason
+
+EARLIER_HOLDER = "earlier-holder"
+"""Reason of a step that the planner leaves out: an earlier holder may have started its
+tasks, and their workers have not answered this one."""
+
+UNEXAMINED = "unexamined"
+"""Reason of a step that no scheduling round has examined since it became due, or since
+its last placement."""
+
+REASONS = (*(reason.value for reason in WaitReason), EARLIER_HOLDER, UNEXAMINED)
+"""All reasons for which a step that is due can wait."""
+
+TEXT_BY_REASON: Mapping[str, str] = {
+    WaitReason.ADVICE: "an answer of the advice service",
+    WaitReason.NOT_APPROVED: "workers that the advice service approves",
+    WaitReason.WORKERS: "approved workers that are in quarantine or do not answer",
+    WaitReason.SIZE: "larger workers; no approved one could hold it even if idle",
+    WaitReason.CUSTOMER_LIMIT: "other tasks of the customer, which is at its limit",
+    WaitReason.CAPACITY: "free capacity on its workers",
+    WaitReason.QUARANTINE: (
+        "free capacity, beside that of approved workers in quarantine"
+    ),
+    WaitReason.HEADROOM: "free capacity beside that kept for urgent tasks",
+    WaitReason.TICKETS: "valid tickets for workers with free capacity",
+    WaitReason.RESERVATION: "workers with free capacity that are reserved for a gang",
+    WaitReason.TURN: "its turn; a round looks for workers for some of the blocked steps",
+    EARLIER_HOLDER: "workers on which an earlier holder may have started its tasks",
+    UNEXAMINED: "a scheduling round that examines the step",
+}
+"""What a step waits for, in words for operators."""
+
+MAX_LISTED_STEPS = 8
+"""Maximum number of steps that a summary lists."""
+
+MAX_LISTED_WORKERS = 8
+"""Maximum number of workers that the explanation of a step names."""
+
+MAX_EXPLAINED_STEPS = 100
+"""Maximum number of steps in the explanation of a job."""
+
+
+class Standing(StrEnum):
+    """Where a step stands."""
+
+    DONE = "done"
+    RUNNING = "running"
+    ENDED = "ended"
+    NOT_DUE = "not-due"
+    EARLIER_STEPS = "earlier-steps"
+    WAITING = "waiting"
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """Step with tasks that are due but not started, with the age of its wait."""
+
+    step_id: StepId
+    reason: str
+    age_s: float
+    pending: int
+    active: int
+
+    @property
+    def age_ms(self) -> int:
+        """Age of the wait in milliseconds."""
+        return round(self.age_s * 1000)
+
+
+@dataclass(frozen=True, slots=True)
+class WaitSummary:
+    """Waiting steps of a cell: numbers by reason, and the steps that wait longest."""
+
+    count_by_reason: dict[str, int]
+    oldest_s_by_reason: dict[str, float]
+    oldest: tuple[WaitingStep, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StepExplanation:
+    """Where one step stands; ``reason`` and ``age_ms`` are set if it waits."""
+
+    occurrence: int
+    step: int
+    standing: Standing
+    text: str
+    done: int
+    active: int
+    pending: int
+    reason: str = ""
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobExplanation:
+    """Why a job is where it is; ``lines`` is the same as text, a line for each step."""
+
+    job: str
+    state: str
+    lines: tuple[str, ...]
+    customer: str = ""
+    queue: str = ""
+    steps: tuple[StepExplanation, ...] = ()
+
+
+def waiting_steps(
+    ledger: Ledger, unexamined_since: Mapping[StepId, float]
+) -> list[WaitingStep]:
+    """Return the steps with tasks that are due but not started.
+
+    ``unexamined_since`` holds the times on the holder's clock at which unexamined
+    steps were first seen.
+    """
+    wall_ms = ledger.clock.wall_ms()
+    return [
+        _waiting_step(step, ledger, unexamined_since)
+        for job in ledger.jobs_by_id.values()
+        if not job.final
+        for step in job.ready_steps(wall_ms)
+    ]
+
+
+def summarize(steps: Iterable[WaitingStep]) -> WaitSummary:
+    """Return the number and the oldest age of waiting steps for all reasons."""
+    steps = list(steps)
+    count_by_reason = dict.fromkeys(REASONS, 0)
+    oldest_s_by_reason = dict.fromkeys(REASONS, 0.0)
+    for step in steps:
+        count_by_reason[step.reason] += 1
+        oldest_s_by_reason[step.reason] = max(
+            oldest_s_by_reason[step.reason], step.age_s
+        )
+    oldest = nsmallest(
+        MAX_LISTED_STEPS, steps, key=lambda each: (-each.age_s, each.step_id)
+    )
+    return WaitSummary(count_by_reason, oldest_s_by_reason, tuple(oldest))
+
+
+def explain_job(
+    ledger: Ledger,
+    job_id: str,
+    entry: JobEntry | None,
+    unexamined_since: Mapping[StepId, float],
+) -> JobExplanation | None:
+    """Explain where each step of a job stands, None if the job is not known.
+
+    ``entry`` is the state of the job according to the job stream.
+    """
+    job = ledger.jobs_by_id.get(job_id)
+    if job is not None:
+        return _explain_job(job, ledger, unexamined_since)
+    if entry is None:
+        return None
+    state = entry.state.value
+    if entry.final:
+        line = f"job {job_id} has ended as {state}"
+    elif entry.spec is None:
+        line = f"the record of the acceptance of job {job_id} has not been read"
+    else:
+        line = (
+            f"job {job_id} is {state} according to the store; the holder has not "
+            "recovered it yet, or has just seen its end"
+        )
+    return JobExplanation(job_id, state, (line,))
+
+
+def _explain_job(
+    job: Job, ledger: Ledger, unexamined_since: Mapping[StepId, float]
+) -> JobExplanation:
+    state = job.progress.final or ("running" if job.progress.begun else "queued")
+    age_s = ledger.clock.now() - job.accepted_at
+    first = f"job {job.job_id} is {state}, first due {age_s:.1f} s ago"
+    if job.progress.final is not None:
+        first = f"job {job.job_id} has ended as {state}"
+    elif age_s < 0:
+        first = f"job {job.job_id} is {state}, first due in {-age_s:.1f} s"
+    steps = [
+        _explain_step(step, ledger, unexamined_since)
+        for step in job.steps_by_id.values()
+    ]
+    listed = _bounded(steps)
+    lines = [first, *(_line(step, job.spec.runs > 1) for step in listed)]
+    if len(listed) < len(steps):
+        lines.append(f"{len(steps) - len(listed)} further steps")
+    return JobExplanation(
+        job.job_id,
+        state,
+        tuple(lines),
+        job.spec.customer,
+        job.queue.name,
+        tuple(listed),
+    )
+
+
+def _bounded(steps: list[StepExplanation]) -> list[StepExplanation]:
+    """Return the steps to be listed; those that are done or not due are left out first.
+
+    A schedule may have thousands of occurrences.
+    """
+    if len(steps) <= MAX_EXPLAINED_STEPS:
+        return steps
+    quiet = (Standing.DONE, Standing.NOT_DUE)
+    listed = nsmallest(
+        MAX_EXPLAINED_STEPS,
+        steps,
+        key=lambda each: (each.standing in quiet, each.occurrence, each.step),
+    )
+    return sorted(listed, key=lambda each: (each.occurrence, each.step))
+
+
+def _line(step: StepExplanation, scheduled: bool) -> str:
+    place = f"occurrence {step.occurrence}, " if scheduled else ""
+    return f"{place}step {step.step}: {step.text}"
+
+
+def _explain_step(
+    step: Step, ledger: Ledger, unexamined_since: Mapping[StepId, float]
+) -> StepExplanation:
+    job, count, active = step.job, step.spec.count, len(step.active)
+    done = len(step.progress.done)
+    result = StepExplanation(
+        occurrence=step.step_id.occurrence,
+        step=step.step_id.step,
+        standing=Standing.DONE,
+        text=f"done ({done} of {count} tasks)",
+        done=done,
+        active=active,
+        pending=len(step.pending),
+    )
+    if job.final:
+        text = f"ended with the job, {done} of {count} tasks done"
+        if active:
+            text += f"; tasks that are being stopped: {active}"
+        return replace(result, standing=Standing.ENDED, text=text)
+    if step.done:
+        return result
+    running = f"running: {active} of {count} tasks, {done} done"
+    if not step.startable:
+        return replace(result, standing=Standing.RUNNING, text=running)
+    wall_ms, due_ms = ledger.clock.wall_ms(), job.spec.due_ms(result.occurrence)
+    if due_ms > wall_ms:
+        text = f"not due until {_utc(due_ms)}, in {(due_ms - wall_ms) / 1000:.1f} s"
+        return replace(result, standing=Standing.NOT_DUE, text=text)
+    earlier = [
+        number
+        for number in step.spec.after
+        if not job.steps_by_id[StepId(job.job_id, result.occurrence, number)].done
+    ]
+    if earlier:
+        names = ", ".join(str(number) for number in earlier)
+        text = f"waits for earlier steps: {names}"
+        return replace(result, standing=Standing.EARLIER_STEPS, text=text)
+    waiting = _waiting_step(step, ledger, unexamined_since)
+    what = TEXT_BY_REASON.get(waiting.reason, waiting.reason)
+    text = f"waits for {what} ({waiting.reason}) for {waiting.age_s:.1f} s"
+    if waiting.reason == EARLIER_HOLDER:
+        text += f": {_earlier_workers(step, ledger)}"
+    if done or active:
+        text += f"; tasks that wait: {result.pending}, {running}"
+    return replace(
+        result,
+        standing=Standing.WAITING,
+        text=text,
+        reason=waiting.reason,
+        age_ms=waiting.age_ms,
+    )
+
+
+def _waiting_step(
+    step: Step, ledger: Ledger, unexamined_since: Mapping[StepId, float]
+) -> WaitingStep:
+    """Return the wait of a step that is due and whose earlier steps are done."""
+    now = ledger.clock.now()
+    reason, since = UNEXAMINED, unexamined_since.get(step.step_id, now)
+    if _uncertain_tasks(step, ledger) and not ledger.startable(step):
+        reason, since = EARLIER_HOLDER, ledger.began_at
+    elif step.wait is not None:
+        reason, since = step.wait.reason.value, step.wait.since
+    age_s = max(0.0, now - since)
+    return WaitingStep(step.step_id, reason, age_s, len(step.pending), len(step.active))
+
+
+def _uncertain_tasks(step: Step, ledger: Ledger) -> list[int]:
+    assigned = step.pending & step.progress.assigned_by_index.keys()
+    return sorted(i for i in assigned if ledger.assignment_is_uncertain(step, i))
+
+
+def _earlier_workers(step: Step, ledger: Ledger) -> str:
+    by_index = step.progress.assigned_by_index
+    workers = sorted({by_index[index] for index in _uncertain_tasks(step, ledger)})
+    names = ", ".join(workers[:MAX_LISTED_WORKERS])
+    further = len(workers) - MAX_LISTED_WORKERS
+    return f"{names} and {further} further" if further > 0 else names
+
+
+def _utc(wall_ms: int) -> str:
+    moment = datetime.fromtimestamp(wall_ms / 1000, UTC)
+    return moment.isoformat(timespec="milliseconds")
