Show why steps wait in two gauges and a log line

Operators could not see why accepted jobs were not started beside idle workers. The holder now sets briarrun_waiting_steps and briarrun_waiting_oldest_seconds by reason, and writes one line a second with the counts and the eight longest waits while a step has waited for more than a second. All reasons are always served, with 0 on the other VMs and after the end of a term.

This runs apart from scheduling rounds, so it also reports rounds that fail.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -23,6 +23,7 @@
 from briarrun_cell.ports import Store, Workers
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.tail import TopicTail
+from briarrun_cell.wait_monitor import WAIT_REPORT_INTERVAL_S, WaitMonitor
 from briarrun_cell.workers import Worker
 
 ROUND_PAUSE_S = 0.004
@@ -132,6 +133,7 @@
             deps.keep_final_s,
             self.on_fenced,
         )
+        self.waits = WaitMonitor(self.ledger, deps.metrics, deps.table)
         self._sender = OrderSender(deps.workers, self.ledger, deps.clock, self)
         self._planner = Planner(self.ledger, lambda: len(deps.vms()))
         self._advice_dispatcher = AdviceDispatcher(
@@ -193,6 +195,7 @@
             self._deps.table.listeners.remove(self._on_job)
         self._deps.registry.on_change = None
         self._advice_dispatcher.close()
+        self.waits.clear()
 
     def close(self) -> None:
         """Cancel all tasks of the session."""
@@ -230,6 +233,7 @@
         )
         self._spawn(self._journal.run())
         self._spawn(self._run_cleanup())
+        self._spawn(self._run_wait_reports())
         await self._run_rounds()
 
     async def _run_cleanup(self) -> None:
@@ -238,6 +242,17 @@
             if self.is_holder():
                 await self._journal.clean_up()
 
+    async def _run_wait_reports(self) -> None:
+        while True:
+            await asyncio.sleep(WAIT_REPORT_INTERVAL_S)
+            if not self.is_holder():
+                self.waits.clear()
+                continue
+            try:
+                self.waits.report()
+            except Exception as error:  # A report must not be the last one.
+                _LOG.error("report of waiting steps failed", detail=repr(error))
+
     def _on_job(self, job_id: str) -> None:
         self.ledger.set_job(job_id, self._deps.table.by_id.get(job_id))
         self.wake()
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from briarrun_cell.explanation import REASONS
+
 _WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 15.0)
 _DECISION_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.1)
 
@@ -43,6 +47,19 @@
         self.holding = Gauge(
             "briarrun_holding", "1 while this VM holds the cell.", registry=registry
         )
+        self.waiting_steps = Gauge(
+            "briarrun_waiting_steps",
+            "Steps with tasks that are due but not started, by reason; on the holder.",
+            ("reason",),
+            registry=registry,
+        )
+        self.waiting_oldest_s = Gauge(
+            "briarrun_waiting_oldest_seconds",
+            "Age of the longest wait of a step, by reason; on the holder.",
+            ("reason",),
+            registry=registry,
+        )
+        self.set_waits({}, {})
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
@@ -65,6 +82,18 @@
         """Record the wait of a job for its first start."""
         self.start_wait_s.labels(customer, queue).observe(max(0.0, seconds))
 
+    def set_waits(
+        self,
+        count_by_reason: Mapping[str, int],
+        oldest_s_by_reason: Mapping[str, float],
+    ) -> None:
+        """Set the waiting steps and their oldest age; 0 for reasons left out."""
+        for reason in REASONS:
+            self.waiting_steps.labels(reason).set(count_by_reason.get(reason, 0))
+            self.waiting_oldest_s.labels(reason).set(
+                oldest_s_by_reason.get(reason, 0.0)
+            )
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/tests/cell/test_explanation.py
+++ b/tests/cell/test_explanation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -36,6 +37,7 @@
     started,
 )
 
+OPERATIONS_PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 SMALL = StepSpec(need=Resources(1000, 10), estimated_ms=1000)
 HUGE = msgspec.structs.replace(SMALL, need=Resources(9000, 10))
 
@@ -280,3 +282,9 @@
     _note(ledger, "busy", WaitReason.SIZE, 4.0)
     reasons = {s.step_id.job_id: s.reason for s in waiting_steps(ledger, {})}
     assert reasons == {"j": EARLIER_HOLDER, "new": UNEXAMINED, "busy": "size"}
+
+
+@pytest.mark.parametrize("reason", REASONS)
+def test_reason_is_in_the_operators_page(reason: str) -> None:
+    """Guards against a reason that operators cannot look up."""
+    assert f"| `{reason}` |" in OPERATIONS_PAGE.read_text()
