Let operators ask a cell why a job waits

`briarrun explain` asks briarrund; a cell had no such call, so operators could not get from a job's id to the reason why it waits. The metrics address of every VM now answers GET /explain/JOB: as JSON on the holder, 503 with the holder's VM and address on the others, 404 for an unknown job. Callers' interface and the command without the option stay.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -16,6 +16,7 @@
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
 from briarrun_cell.election import MAX_CLAIM_AGE_S, Election
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable
+from briarrun_cell.explanation import JobExplanation
 from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
@@ -23,6 +24,7 @@
 from briarrun_cell.ledger import LeaseDurations
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
+from briarrun_cell.operations import Explainer, NotHolder
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
@@ -125,7 +127,7 @@
     entry_decoder: EntryDecoder
 
 
-class CellCore:
+class CellCore(Explainer):
     """Store readers, frontend and election candidate of one process."""
 
     def __init__(
@@ -234,6 +236,14 @@
     def _holder_address(self) -> str | None:
         return self.election.other_holder_address()
 
+    def explain(self, job_id: str) -> JobExplanation | NotHolder | None:
+        """Explain where a job stands; only the holder can."""
+        session = self.holder.session
+        if session is not None and session.is_holder():
+            return session.waits.explain(job_id)
+        claim = self.election.other_holder()
+        return NotHolder() if claim is None else NotHolder(claim.vm, claim.address)
+
     async def write_for_peer(self, record: Record) -> WriteOutcome:
         """Store a record that another VM has accepted."""
         return await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -12,6 +12,7 @@
 from briarrun_cell.frontend import Frontend
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
+from briarrun_cell.operations import OperationsHandler
 from briarrun_cell.peers import (
     PeerAdviceProxy,
     PeerHandler,
@@ -64,18 +65,6 @@
         return HttpResponse(200 if self._ready() else 503)
 
 
-class _MetricsHandler(HttpHandler):
-    def __init__(self, path: str, metrics: Metrics) -> None:
-        self._path = path
-        self._metrics = metrics
-
-    async def handle(self, request: HttpRequest) -> HttpResponse:
-        if request.path != self._path:
-            return HttpResponse.of_error(404, "not-found", "no such path")
-        headers = (("Content-Type", "text/plain; version=0.0.4"),)
-        return HttpResponse(200, self._metrics.render(), headers)
-
-
 class CellDaemon:
     """Servers for callers, peers, readiness probes and metrics around a ``CellCore``."""
 
@@ -130,10 +119,9 @@
         )
         await _bind(callers, self._settings.callers_address)
         await _bind(HttpServer(readiness), self._settings.readiness_address)
-        await _bind(
-            HttpServer(_MetricsHandler(adapters.metrics_path, metrics)),
-            adapters.metrics_address,
-        )
+        port = int(adapters.metrics_address.rpartition(":")[2])
+        operations = OperationsHandler(adapters.metrics_path, metrics, self._core, port)
+        await _bind(HttpServer(operations), adapters.metrics_address)
         self._core.start()
         await self._stopping.wait()
         await self._shut_down(callers)
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -141,13 +141,18 @@
         holder_term = self.holder_term
         return holder_term is not None and self._clock.now() < holder_term.valid_until
 
-    def other_holder_address(self) -> str | None:
-        """Return the peer address of a holder on another VM, None if none is known."""
+    def other_holder(self) -> Claim | None:
+        """Return the claim of a holder on another VM, None if none is known."""
         claim = self._last_claim
         if claim is None or claim.released or claim.vm == self._vm:
             return None
         age_s = self._clock.now() - self._last_claim_at
-        return claim.address if age_s <= MAX_CLAIM_AGE_S else None
+        return claim if age_s <= MAX_CLAIM_AGE_S else None
+
+    def other_holder_address(self) -> str | None:
+        """Return the peer address of a holder on another VM, None if none is known."""
+        claim = self.other_holder()
+        return None if claim is None else claim.address
 
     def unheld_s(self) -> float:
         """Return for how long no claim has been read, 0 before the first read."""
--- a/packages/cli/src/briarrun_cli/entry_vm.py
+++ b/packages/cli/src/briarrun_cli/entry_vm.py
@@ -41,9 +41,7 @@
         """Return the decoded response, or raise ``CommandError`` if it is an error."""
         encoded = b"" if body is None else json.dumps(body).encode()
         response = await self.send(method, path, encoded, headers, idempotent)
-        if 200 <= response.status < 300:
-            return _decode(response)
-        raise _failure(response)
+        return decode_response(response)
 
     async def send(
         self,
@@ -87,6 +85,13 @@
         await pool.close()
 
 
+def decode_response(response: HttpResponse) -> Any:
+    """Return the decoded response, or raise ``CommandError`` if it is an error."""
+    if 200 <= response.status < 300:
+        return _decode(response)
+    raise _failure(response)
+
+
 def _decode(response: HttpResponse) -> Any:
     try:
         return response.json() if response.body else {}
--- a/packages/cli/src/briarrun_cli/job_commands.py
+++ b/packages/cli/src/briarrun_cli/job_commands.py
@@ -12,11 +12,14 @@
 
 from briarrun_cli.entry_vm import open_entry_vm
 from briarrun_cli.exits import CommandError, ExitStatus
+from briarrun_cli.operations import explain_at
 from briarrun_cli.options import (
     DEFAULT_TIMEOUT_S,
     EntryOption,
     JsonOption,
     KeyOption,
+    OperationsOption,
+    OptionalEntryOption,
     TimeoutOption,
 )
 from briarrun_cli.output import fields_of, show
@@ -71,12 +74,22 @@
 
 def explain(
     job_id: str,
-    entry: EntryOption,
+    entry: OptionalEntryOption = None,
+    operations: OperationsOption = None,
     key: KeyOption = None,
     timeout: TimeoutOption = DEFAULT_TIMEOUT_S,
     as_json: JsonOption = False,
 ) -> None:
-    """Say in one line why a job waits. Example: briarrun explain zagreb.roster-7."""
+    """Say why a job waits. Example: briarrun explain zagreb.roster-7.
+
+    In a cell, name the metrics address of any VM with --operations.
+    """
+    if operations is not None:
+        data = asyncio.run(explain_at(operations, job_id, timeout))
+        show(data, data["lines"], as_json)
+        return
+    if entry is None:
+        raise typer.BadParameter("needed without --operations", param_hint="--entry")
     data = _call(entry, key, timeout, "GET", f"{_job_path(job_id)}/explain")
     show(data, [str(data.get("explanation", data.get("text", data)))], as_json)
 
--- a/packages/cli/src/briarrun_cli/options.py
+++ b/packages/cli/src/briarrun_cli/options.py
@@ -19,6 +19,17 @@
     str,
     typer.Option("--entry", envvar="BRIARRUN_ENTRY", help="Entry VM, host:port."),
 ]
+OptionalEntryOption = Annotated[
+    str | None,
+    typer.Option("--entry", envvar="BRIARRUN_ENTRY", help="Entry VM, host:port."),
+]
+OperationsOption = Annotated[
+    str | None,
+    typer.Option(
+        "--operations",
+        help="Metrics address of a VM of the cell, host:port; asked instead.",
+    ),
+]
 KeyOption = Annotated[
     str | None,
     typer.Option("--key", envvar="BRIARRUN_KEY", help="Key of the team."),
