--- a/tests/cell/test_load_replay.py
+++ b/tests/cell/test_load_replay.py
@@ -6,7 +6,8 @@
 
 from briarrun_cell.model import AdviceTerms, Queue
 from briarrun_core.resources import Resources
-from tools.emulator.cell.load import POOL, Burst, JobClass, Load, LoadReplay
+from tools.emulator.cell.load import LoadReplay
+from tools.emulator.cell.workload import POOL, Burst, JobClass, Load
 
 URGENT_START_S = 1.2
 """Time within which urgent work starts, from docs/CAPACITY.md."""
--- a/tools/emulator/cell/load.py
+++ b/tools/emulator/cell/load.py
@@ -29,19 +29,16 @@
     Inventory,
     JobSpec,
     JobState,
-    Queue,
     RunReport,
     StepId,
-    StepSpec,
     WorkerEntry,
 )
 from briarrun_cell.planner import Placement, Planner
 from briarrun_cell.ports import AdviceAnswer
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.workers import Run, RunState, Worker
-from briarrun_core.resources import NOTHING, Resources
-
-POOL = "planner"
+from briarrun_core.resources import NOTHING
+from tools.emulator.cell.workload import POOL, JobClass, Load, draw_steps
 
 ROUND_INTERVAL_S = 0.02
 """Time between two scheduling rounds."""
@@ -59,52 +56,6 @@
 """Time between two inventories of a worker on which nothing ends."""
 
 
-@dataclass(frozen=True, slots=True)
-class JobClass:
-    """Distribution of the jobs of one queue.
-
-    Sizes are log-normal with the given mean and deviation of the logarithm, up to a
-    maximum. ``estimate_error`` is the maximum relative error of the declared run time,
-    ``value`` what a job of mean size is worth.
-    """
-
-    queue: Queue
-    jobs_per_s: float
-    value: float
-    approved: float
-    steps: tuple[float, float, float]
-    tasks: tuple[float, float, float]
-    run_s: tuple[float, float, float]
-    cores: tuple[float, float, float]
-    memory_mib: tuple[float, float, float]
-    estimate_error: float
-    gangs: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Burst:
-    """Multiple of the usual rate of a queue for a while."""
-
-    queue: str
-    begins_s: float
-    lasts_s: float
-    factor: float
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Jobs, workers and VMs of a replay."""
-
-    classes: tuple[JobClass, ...]
-    workers: int
-    capacity: Resources
-    vms: int
-    lasts_s: float
-    bursts: tuple[Burst, ...] = ()
-    slowness: tuple[float, ...] = (1.0, 1.0, 1.3)
-    customers: int = 20
-
-
 @dataclass(slots=True)
 class _JobRecord:
     kind: JobClass
@@ -143,12 +94,6 @@
         return sum(each.earned for each in self.by_queue.values()) / owed
 
 
-def _draw(rng: random.Random, shape: tuple[float, float, float]) -> float:
-    mean, deviation, largest = shape
-    drawn = rng.lognormvariate(math.log(mean) - deviation**2 / 2, deviation)
-    return min(drawn, largest)
-
-
 class _Advice(AdviceProxy):
     """Approves a fixed part of the workers for each step."""
 
@@ -268,22 +213,9 @@
     def _submit(self, kind: JobClass) -> None:
         rng = self._rng
         number = len(self.records_by_id)
-        steps, run_s = [], []
-        error = 1 + rng.uniform(-kind.estimate_error, kind.estimate_error)
-        need = Resources(int(_draw(rng, kind.cores)), int(_draw(rng, kind.memory_mib)))
-        for step in range(max(1, round(_draw(rng, kind.steps)))):
-            run_s.append(_draw(rng, kind.run_s))
-            steps.append(
-                StepSpec(
-                    count=max(1, round(_draw(rng, kind.tasks))),
-                    need=need,
-                    estimated_ms=max(1, int(run_s[-1] * error * 1000)),
-                    after=(step - 1,) if step else (),
-                    gang=rng.random() < kind.gangs,
-                )
-            )
+        steps, run_s = draw_steps(kind, rng)
         core_s = sum(
-            each.count * need.cores * s / 1000
+            each.count * each.need.cores * s / 1000
             for each, s in zip(steps, run_s, strict=True)
         )
         mean_core_s = (
@@ -298,7 +230,7 @@
             terms=queue,
             customer=f"c{int(rng.paretovariate(1.0)) % self._load.customers}",
             payload="",
-            steps=tuple(steps),
+            steps=steps,
             accepted_ms=self._clock.wall_ms(),
         )
         self.records_by_id[spec.job_id] = _JobRecord(
