--- a/tools/emulator/cell/advice_service.py
+++ b/tools/emulator/cell/advice_service.py
@@ -17,6 +17,12 @@
 HASH_RANGE = 1 << 8 * HASH_BYTES
 """Number of values of the hash that decides on an approval."""
 
+TOLERATED_FAILURES = 0.1
+"""Fraction of failed calls in spite of which steps are started in time."""
+
+TOLERATED_SLOWNESS = 1.5
+"""Duration of calls, as a multiple, in spite of which steps are started in time."""
+
 
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
@@ -41,8 +47,10 @@
 
     @property
     def impaired(self) -> bool:
-        """Whether calls of all VMs may fail or take longer than usual."""
-        return bool(self.failing or self.hanging or self.slow_factor > 1)
+        """Whether so many calls fail, or take so long, that steps must wait."""
+        if self.failing + self.hanging > TOLERATED_FAILURES:
+            return True
+        return self.slow_factor > TOLERATED_SLOWNESS
 
     def approved(self, step: StepId, worker_ids: Iterable[str]) -> list[str]:
         """Return the workers that are approved for a step, asked about or not."""
--- a/tools/emulator/cell/workload.py
+++ b/tools/emulator/cell/workload.py
@@ -82,6 +82,17 @@
     return tuple(steps), run_s
 
 
+def tasks_in(room: Resources, need: Resources) -> int:
+    """Return how many tasks of cores and memory fit into the room."""
+    return max(
+        0,
+        min(
+            room.cores // max(1, need.cores),
+            room.memory_mib // max(1, need.memory_mib),
+        ),
+    )
+
+
 def _draw(rng: random.Random, shape: tuple[float, float, float]) -> float:
     mean, deviation, largest = shape
     drawn = rng.lognormvariate(math.log(mean) - deviation**2 / 2, deviation)
