--- a/tools/emulator/cell/idle.py
+++ b/tools/emulator/cell/idle.py
@@ -40,8 +40,8 @@
     """What the holder believes about a waiting step; counts of workers or steps.
 
     ``approved`` counts the idle approved workers that have room; of these, ``usable``
-    those that the holder uses, ``queried`` those it has asked about, ``fresh`` those
-    for which it has a valid ticket. ``reasons_before`` counts the steps that are ranked
+    those that answer the holder, ``quarantined`` those that it uses last, ``queried``
+    those it has asked about, ``fresh`` those for which it has a valid ticket. ``reasons_before`` counts the steps that are ranked
     before it by the reason for which they wait.
     """
 
@@ -51,6 +51,7 @@
     gangs_before: int
     approved: int
     usable: int
+    quarantined: int
     queried: int
     fresh: int
     advice_in_flight: bool
@@ -250,7 +251,8 @@
             len(before),
             sum(each.spec.gang for each in before),
             len(idle),
-            sum(each.usable(now) for each in idle),
+            sum(each.takes_orders(now) for each in idle),
+            sum(each.quarantined(now) for each in idle),
             sum(each in step.advice.queried for each in ids),
             sum(each in tickets and tickets[each].expires_at > now for each in ids),
             step.advice.request_in_flight,
