Choose replicas from a list of VMs that no longer grows

When a cell started for the first time, small VMs followed the job stream for as long as they ran. Cause: a VM that registers for the first time waits for others before it chooses its role, but it looked itself up in the list while its own registration was under way. If that was in the first list that it read, it took itself for registered before and chose at once. Traced in the start of the failing test: vm27 chose on a list of 3 VMs at 0.08 s, vm14 on 16 at 0.18 s; 7 of 24 small VMs became replicas, each of which had found itself. Ruled out: waiting alone. Replicas that step back: nothing would be delayed, but lists differ between VMs and a claim of the VM may be under way; not built. Change: a VM registers after it has read the list, waits until the list has not grown for 0.4 s, 1 s at most (1 s always before), and the delay of a claim counts from when the candidate first knew the jobs, if that is later. A VM that is in the list when it starts chooses at once, as before. Not mended: VMs that start more than 1 s after others or join later still become replicas beside the present ones.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -82,8 +82,14 @@
 """Time without a holder, or without answers of replicas, after which another VM follows
 the job stream, so that it can become the holder. Time without the store is left out."""
 
-FIRST_REGISTRATIONS_S = 1.0
-"""Time in which all VMs of a cell that starts for the first time have registered."""
+QUIET_REGISTRATIONS_S = 0.4
+"""Time without a further registration after which the list of VMs counts as complete."""
+
+MAX_FIRST_REGISTRATIONS_S = 1.0
+"""Maximum time for which a VM that registers for the first time waits for others."""
+
+REGISTRATIONS_REVIEW_S = 0.03
+"""Interval at which a VM that waits for registrations looks at the list of VMs."""
 
 REGISTER_RETRY_S = 0.3
 """Pause before a failed registration or background task is repeated."""
@@ -327,15 +333,16 @@
 
     async def _choose_role(self) -> None:
         """Become a replica if this VM is to be one, or if no replica serves the cell."""
+        registered_before = False
         try:
             async with asyncio.timeout(VMS_LOAD_TIMEOUT_S):
                 await self._vms_tail.wait_for_offset(0)
+                registered_before = self._settings.vm in self._vms.by_name
                 await self._claims_tail.wait_for_offset(0)
         except TimeoutError:
             _LOG.warning("VMs and claims could not be read before the jobs")
-        if self._settings.vm not in self._vms.by_name:
-            # When a cell starts for the first time, its VMs register one by one.
-            await asyncio.sleep(FIRST_REGISTRATIONS_S)
+        if not registered_before and not self.election.held_last:
+            await self._wait_for_first_registrations()
         chosen = is_replica(self._own_entry(), self._vms.by_name.values())
         if chosen or self.election.held_last:
             self._is_replica.set()
@@ -352,6 +359,22 @@
         )
         self._is_replica.set()
 
+    async def _wait_for_first_registrations(self) -> None:
+        """Wait until this VM is listed and the list has not grown for a while.
+
+        When a cell starts for the first time, its VMs register one by one.
+        """
+        began_at = grown_at = self._clock.now()
+        known = 0
+        while self._clock.now() < began_at + MAX_FIRST_REGISTRATIONS_S:
+            if len(self._vms.by_name) > known:
+                known = len(self._vms.by_name)
+                grown_at = self._clock.now()
+            listed = self._settings.vm in self._vms.by_name
+            if listed and self._clock.now() >= grown_at + QUIET_REGISTRATIONS_S:
+                return
+            await asyncio.sleep(REGISTRATIONS_REVIEW_S)
+
     def _replicas_serve(self) -> bool:
         """Return whether the cell has a holder and replicas answer questions."""
         held = self.election.unheld_s() <= MAX_CLAIM_AGE_S
@@ -367,7 +390,11 @@
         )
 
     async def _register(self) -> None:
-        """Publish the peer address of this VM in the store."""
+        """Publish the peer address of this VM in the store.
+
+        Waits for the list of VMs, which shows whether this is the first registration.
+        """
+        await self._vms_tail.wait_for_offset(0)
         entry = self._own_entry()
         record = Record(entry.vm, msgspec.json.encode(entry))
         while True:
--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -99,7 +99,8 @@
 
     ``confirm`` reads claims written in the meantime, so that a candidate that reads
     rarely does not send a claim that the store would refuse. ``eligible`` returns
-    whether this process could make decisions immediately.
+    whether this process could make decisions immediately; ``claim_delay_s`` also counts
+    from when it first could.
     """
 
     def __init__(
@@ -131,6 +132,7 @@
         self._last_claim: Claim | None = None
         self._topic_end: int | None = None
         self._last_claim_at = 0.0
+        self._first_ready_at = float("inf")
         self._jitter_s = 0.0
         self._renewal_pause_s = RENEWAL_INTERVAL_S
         self._round_trip_s = MAX_TERM_S
@@ -203,13 +205,13 @@
     def _claimable(self) -> bool:
         if self._topic_end is None:
             return False
-        waited_s = self._clock.now() - self._last_claim_at
-        wait_s = self.claim_delay_s + self._jitter_s
-        if self._last_claim is None or self._last_claim.released:
-            return waited_s >= wait_s
         if self.held_last:
             return True
-        return waited_s >= self._last_claim.term_s + wait_s
+        claim = self._last_claim
+        term_s = 0.0 if claim is None or claim.released else claim.term_s
+        # Candidates of a new cell may be ready long after they read that no one claims.
+        counted_from = max(self._last_claim_at + term_s, self._first_ready_at)
+        return self._clock.now() >= counted_from + self.claim_delay_s + self._jitter_s
 
     async def run(self) -> None:
         """Claim the cell and renew the claim until cancelled."""
@@ -224,6 +226,8 @@
 
     def _may_claim(self) -> bool:
         ready = self._eligible is None or self._eligible()
+        if ready:
+            self._first_ready_at = min(self._first_ready_at, self._clock.now())
         return self.is_candidate and ready and self._claimable()
 
     async def _confirm_claimable(self) -> bool:
--- a/tests/cell/test_replicas.py
+++ b/tests/cell/test_replicas.py
@@ -8,7 +8,7 @@
 
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.frontend import RequestOutcome
-from briarrun_cell.model import JobState
+from briarrun_cell.model import JobSpec, JobState
 from briarrun_cell.ports import Topic
 from briarrun_cell.replicas import (
     MIN_REPLICAS,
@@ -232,3 +232,91 @@
         assert _replicas(cell) == {f"vm{n}" for n in range(6)}
     finally:
         cell.close()
+
+
+@pytest.mark.parametrize("interval_s", [0.0, 0.02, 0.05, 0.1])
+async def test_replicas_of_a_cell_whose_vms_start_one_by_one(interval_s: float) -> None:
+    """Guards against a choice from a part of the list while VMs still register."""
+    cell = FakeCell(1, CellOptions(vms=30, cores_by_vm=SMALL))
+    try:
+        await cell.start(vm_start_interval_s=interval_s)
+        assert (await cell.wait_for_holder()).name not in SMALL
+        await asyncio.sleep(3.0)
+        assert _replicas(cell) == {f"vm{n}" for n in range(6)}
+    finally:
+        cell.close()
+
+
+async def _start_while_asked(cell: FakeCell, vm_start_interval_s: float) -> JobSpec:
+    """Start all VMs; return a job that the first accepted, checking its state."""
+    start = asyncio.create_task(cell.start(vm_start_interval_s))
+    await asyncio.sleep(0)
+    first = list(cell.vms_by_name)[-1]
+    spec = cell.spec(step(1, 300))
+    while (await cell.submit(spec, first)).request_outcome is not (
+        RequestOutcome.ACCEPTED
+    ):
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.1)  # Records reach a VM far from the store later.
+    while not start.done() or spec.job_id not in cell.fleet.first_start_by_job:
+        running = [vm for vm in cell.vms_by_name.values() if vm.core is not None]
+        replies = await asyncio.gather(
+            *(vm.core.frontend.state(spec.job_id, "") for vm in running if vm.core)
+        )
+        outcomes = {reply.request_outcome for reply in replies}
+        assert outcomes <= {RequestOutcome.STATE, RequestOutcome.NOT_RUN}
+        await asyncio.sleep(0.05)
+    return spec
+
+
+@pytest.mark.parametrize("interval_s", [0.01, 0.05, 0.1, 0.3])
+async def test_answers_while_the_vms_of_a_new_cell_choose_their_roles(
+    interval_s: float,
+) -> None:
+    """Guards against "no such job" for a job that is accepted during the first start.
+
+    With long intervals some VMs choose their role before others have started.
+    """
+    cell = FakeCell(1, CellOptions(vms=30, cores_by_vm=SMALL))
+    try:
+        spec = await _start_while_asked(cell, interval_s)
+        assert not await cell.finished({spec.job_id}, 5.0)
+        await asyncio.sleep(2.0)  # The last VM has chosen its role by then.
+        replies = await asyncio.gather(
+            *(cell.state(spec.job_id, name) for name in cell.vms_by_name)
+        )
+        assert set(replies) == {JobState.COMPLETED}
+        assert not cell.fleet.violations
+    finally:
+        cell.close()
+
+
+@pytest.mark.parametrize("joining", [1, 3, 6])
+@with_cell(vms=12, cores_by_vm=SMALL)
+async def test_vms_that_join_later_and_are_larger_become_replicas(
+    cell: FakeCell, joining: int
+) -> None:
+    """Guards against a cell whose replicas are never the VMs that others ask."""
+    await asyncio.sleep(2.0)
+    spec = cell.spec(step(1, 300))
+    assert (await cell.submit(spec)).request_outcome is RequestOutcome.ACCEPTED
+    await asyncio.sleep(0.1)  # Records reach a VM far from the store later.
+    names = [f"large{number}" for number in range(joining)]
+    for name in names:
+        cell.options.cores_by_vm = {**cell.options.cores_by_vm, name: 4.0}
+        cell.add_vm(name, latency_s=0.002)
+        cell.start_vm(name)
+    for _ in range(30):
+        replies = await asyncio.gather(
+            *(
+                vm.core.frontend.state(spec.job_id, "")
+                for vm in cell.vms_by_name.values()
+                if vm.core is not None
+            )
+        )
+        outcomes = {reply.request_outcome for reply in replies}
+        assert outcomes <= {RequestOutcome.STATE, RequestOutcome.NOT_RUN}
+        await asyncio.sleep(0.1)
+    earlier = {f"vm{n}" for n in range(6)}
+    assert set(names) <= _following(cell) <= earlier.union(names)
+    assert await cell.state(spec.job_id, "vm11") is JobState.COMPLETED
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -162,11 +162,7 @@
         for number in range(self.options.workers):
             self.add_worker(f"w{number}")
         for number in range(self.options.vms):
-            name = f"vm{number}"
-            view = StoreView(self.store, latency_s=0.002 * number)
-            self.vms_by_name[name] = CellVm(
-                name, view, FakeAdvisor(self.options.decision_s)
-            )
+            self.add_vm(f"vm{number}", latency_s=0.002 * number)
         names = list(self.vms_by_name)
         for name in reversed(names) if vm_start_interval_s else names:
             self.start_vm(name)
@@ -235,6 +231,13 @@
         value = str(len(self.decoder.entries) - 1).encode()
         self.store.put(Topic.WORKERS, entry.worker_id, value)
 
+    def add_vm(self, name: str, latency_s: float) -> None:
+        """Add a VM without a process; its calls of the store take ``latency_s`` longer."""
+        view = StoreView(self.store, latency_s=latency_s)
+        self.vms_by_name[name] = CellVm(
+            name, view, FakeAdvisor(self.options.decision_s)
+        )
+
     def start_vm(self, name: str) -> None:
         """Start a process on a VM."""
         vm = self.vms_by_name[name]
