--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -111,6 +111,7 @@
     kept_by_worker: dict[Worker, Resources] = field(default_factory=dict)
     largest_is_exact: bool = True
     blocked: int = 0
+    limited: int = 0
     gangs_kept_fresh: int = 0
     steps_kept_fresh: int = 0
 
@@ -150,7 +151,7 @@
         later = []
         for step_rank, step in self._waiting(now, usable):
             if not self._within_limit(step):
-                step.note_wait(WaitReason.CUSTOMER_LIMIT, now)
+                self._pass_over_limited(step, step_rank, round_, plan)
             elif round_.blocked < MAX_BLOCKED_STEPS:
                 self._try_plan_step(step, step_rank, round_, plan)
             else:
@@ -172,6 +173,19 @@
                 detail=repr(error),
             )
 
+    def _pass_over_limited(
+        self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
+    ) -> None:
+        """Note the wait of a step whose customer is at its limit.
+
+        The first of these ask for advice, so that they start when the limit admits them.
+        """
+        step.note_wait(WaitReason.CUSTOMER_LIMIT, round_.now)
+        round_.limited += 1
+        advised = step.job.queue.advice is not None
+        if advised and not step.advice.answered and round_.limited <= MAX_BLOCKED_STEPS:
+            self._request_advice(step, step_rank, _pool_of(step, round_), round_, plan)
+
     def _waiting(self, now: float, usable: list[Worker]) -> list[tuple[Rank, Step]]:
         ledger = self._ledger
         total = NOTHING
--- a/tests/cell/test_waiting.py
+++ b/tests/cell/test_waiting.py
@@ -174,6 +174,18 @@
     assert request.step is step and request.workers == (only,)
 
 
+@pytest.mark.parametrize(("waiting", "asked"), [(1, 1), (20, 20)])
+def test_steps_at_the_limit_ask_for_advice_in_advance(waiting: int, asked: int) -> None:
+    """Guards against capacity under a limit that stays idle until advice has come."""
+    ledger = _ledger(workers=4)
+    _limit_customer(ledger)
+    for number in range(waiting):
+        job(ledger, f"l{number:02}", queue=_queue(1, advised=True))
+    planner = Planner(ledger)
+    assert len(planner.plan().advice_requests) == asked
+    assert not planner.plan().advice_requests
+
+
 @pytest.mark.parametrize("kind", ["task", "gang"])
 def test_job_whose_approved_workers_are_quarantined_is_started(kind: str) -> None:
     """Guards against a job that waits for a quarantine of up to 30 s (LOST).
