Send slow advice calls through VMs that answered before

Callers saw a job that waited 3 to 4 s, or as long as some VMs were lost, for an answer of the advice service while workers were idle. Cause: slow calls took the last free VM, whether its calls had failed or not. A call through a lost VM ends after its expected time and 0.6 s; by then the pause of 1 s of the VM tried before is over, so two lost VMs at the end of the list are tried in turn for ever. Fast calls avoided VMs that had failed already.

Evidence: test_advice_is_not_asked_for_through_a_lost_vm_twice, red before with 2 and 4 lost VMs and slow calls.

--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -124,11 +124,13 @@
 
 
 def _choose_channel(free: list[_Channel], slow: bool) -> _Channel:
-    """Return the channel for a call.
+    """Return the channel for a call: one through which no call failed, if possible.
 
-    Fast calls prefer the start of the list, which is the holder's own VM.
+    Fast calls prefer the start of the list, which is the holder's own VM, slow calls the
+    end.
     """
-    return free[-1] if slow else min(free, key=lambda channel: channel.failures)
+    ordered = reversed(free) if slow else free
+    return min(ordered, key=lambda channel: channel.failures)
 
 
 class AdviceDispatcher:
--- a/tests/cell/test_worst_load.py
+++ b/tests/cell/test_worst_load.py
@@ -22,7 +22,7 @@
     StepSpec,
 )
 from briarrun_cell.planner import AdviceRequest, Planner
-from briarrun_cell.ports import AdviceAnswer
+from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable
 from briarrun_cell.run_times import RunTimeRatios
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, RunState, Worker
@@ -275,3 +275,55 @@
     assert seen == [100]
     assert waiting.advice.answered
     assert not waiting.advice.request_in_flight
+
+
+class _LostVms(AdviceProxy):
+    """Answers through some of the VMs; calls through the others time out."""
+
+    def __init__(self, lost: set[str]) -> None:
+        self._lost = lost
+        self.failed_via: list[str] = []
+
+    async def ask_via(
+        self, vm: EntryVm, step: StepId, worker_ids: Sequence[str], timeout_s: float
+    ) -> AdviceAnswer:
+        if vm.vm in self._lost:
+            self.failed_via.append(vm.vm)
+            await asyncio.sleep(timeout_s)
+            raise AdviceUnavailable(f"{vm.vm} does not answer")
+        return AdviceAnswer(dict.fromkeys(worker_ids, "t"), 2.0)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("decision_s", [0.01, 0.5])
+@pytest.mark.parametrize("lost", [1, 2, 4])
+async def test_advice_is_not_asked_for_through_a_lost_vm_twice(
+    lost: int, decision_s: float
+) -> None:
+    """Guards against a step that waits for advice as long as some VMs are lost."""
+    ledger = make_ledger(workers=4)
+    queue = msgspec.structs.replace(
+        ADVISED, advice=AdviceTerms(decision_s=decision_s, per_worker_s=0, validity_s=2)
+    )
+    job(ledger, "waiting", queue=queue)
+    (waiting,) = ledger.jobs_by_id["waiting"].steps_by_id.values()
+    vms = [
+        EntryVm(vm=f"vm{n}", address="", failure_domain="", region="") for n in range(9)
+    ]
+    # Fast calls begin at the start of the list, slow ones at its end.
+    named = [vm.vm for vm in vms]
+    proxy = _LostVms(set(named[:lost] + named[-lost:]))
+    planner = Planner(ledger, lambda: len(vms))
+    dispatcher = AdviceDispatcher(
+        LoopClock(), lambda: vms, proxy, planner.rates, lambda: None
+    )
+    workers = tuple(ledger.workers_by_id.values())
+    rank = (False, False, 0, 0, False, 0.0)
+    for _ in range(2 * lost + 1):
+        if not waiting.advice.answered:
+            dispatcher.enqueue(AdviceRequest(waiting, workers, rank))
+        while waiting.advice.request_in_flight:
+            await asyncio.sleep(0.01)
+    assert waiting.advice.answered
+    assert len(proxy.failed_via) == len(set(proxy.failed_via)) == lost
+    dispatcher.close()
