Use an answer of the advice service before its tickets expire

It asked for advice in one turn and looked for workers in the next, when the tickets (1.5 s) had expired; so it asked again, without end, while 18 of 20 workers were idle. A step whose answer has come is now looked at in the next round.

--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -24,11 +24,16 @@
 
 @dataclass(slots=True)
 class StepAdvice:
-    """Answers of the advice service for a step."""
+    """Answers of the advice service for a step.
+
+    ``requested`` tells whether a request was made since the planner last looked for
+    workers with all answers at hand.
+    """
 
     tickets_by_worker: dict[str, Ticket] = field(default_factory=dict)
     queried: frozenset[str] = frozenset()
     request_in_flight: bool = False
+    requested: bool = False
     answered: bool = False
     retry_at: float = 0.0
 
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -208,6 +208,7 @@
         self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
     ) -> None:
         step.examined_at = round_.now
+        step.advice.requested = step.advice.request_in_flight
         pool = _pool_of(step, round_)
         yields = self._yields(step, round_)
         if not yields:
@@ -359,7 +360,7 @@
         if unqueried:
             candidates = choose_candidates(step, unqueried, self.rates)
             plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
-            advice.request_in_flight = True
+            advice.request_in_flight = advice.requested = True
 
     def _ticket_is_fresh(self, step: Step, worker: Worker, now: float) -> bool:
         ticket = step.advice.tickets_by_worker.get(worker.incarnation_id)
@@ -402,7 +403,7 @@
         roomiest = sorted(approved, key=lambda w: -task_capacity(step, w.free()))
         candidates = tuple(roomiest[:MAX_WORKERS])
         plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
-        advice.request_in_flight = True
+        advice.request_in_flight = advice.requested = True
 
     def _keeps_tickets_fresh(self, step: Step, round_: _Round) -> bool:
         """Return whether the tickets of the step are to be renewed in advance."""
@@ -539,7 +540,7 @@
     """Return the steps after the first blocked ones that this round looks at, by rank.
 
     These are the ones whose last look is the longest ago, of those that can be placed or
-    have to be asked about.
+    have to be asked about. An answer is used at once, since its tickets expire.
     """
     due = []
     for number, (_, step) in enumerate(later):
@@ -549,7 +550,8 @@
         elif unasked or resources_per_task(step).fits_in(round_.largest):
             if step.wait is None:
                 step.note_wait(WaitReason.TURN, round_.now)
-            due.append((step.examined_at, number))
+            answered = step.advice.requested and not step.advice.request_in_flight
+            due.append((float("-inf") if answered else step.examined_at, number))
         else:
             step.note_wait(WaitReason.CAPACITY, round_.now)
     count = max(MIN_STEPS_IN_TURN, math.ceil(len(due) / MAX_ROUNDS_BETWEEN_TURNS))
