Let starts go out although much progress changes, or an order is refused

Callers would see accepted jobs that do not start.

- Starts wait until the progress that was unsaved before them is stored.
- A start that was refused for want of a ticket, of a step without one, raised KeyError, so that the run held its capacity until an inventory settled it.
- A start that was refused for want of room went to the same worker again, beside idle ones.
Other workers are tried first now.

--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from briarrun_cell import records
 from briarrun_cell.clock import Clock
@@ -13,6 +14,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import JobState
 from briarrun_cell.ports import Record, Store, Topic
+from briarrun_cell.workers import Worker
 
 BATCH_DELAY_S = 0.008
 """Time for which progress is collected into one append."""
@@ -27,6 +29,18 @@
 _LOG = ComponentLog("holder")
 
 
+@dataclass(slots=True)
+class _Pass:
+    """Progress that was unsaved at one moment, and what depends on its being stored.
+
+    ``acknowledging`` holds the workers with the number of the last end in the ledger.
+    """
+
+    job_ids: list[str]
+    waiters: list[asyncio.Future[None]]
+    acknowledging: list[tuple[Worker, int]]
+
+
 class Journal:
     """Stores the progress of changed jobs, one append at a time."""
 
@@ -48,6 +62,7 @@
         self._wake = asyncio.Event()
         self._stored = asyncio.Event()
         self._flush_waiters: list[asyncio.Future[None]] = []
+        self._pass = _Pass([], [], [])
 
     async def fence(self) -> int:
         """Fence off earlier holders and return the end offset of the job stream."""
@@ -84,20 +99,25 @@
             await asyncio.sleep(BATCH_DELAY_S)
             self._wake.clear()
             await self._flush()
-            if self._ledger.dirty or self._flush_waiters:
+            if self._ledger.dirty or self._flush_waiters or self._pass.job_ids:
                 self._wake.set()
 
     async def _flush(self) -> None:
+        """Store a batch of the progress that was unsaved when the pass over it began.
+
+        What changes meanwhile belongs to the next pass; otherwise starts would wait as
+        long as more jobs change than fit into a batch.
+        """
         ledger = self._ledger
-        waiters, self._flush_waiters = self._flush_waiters, []
-        acknowledging = [
-            (worker, worker.applied) for worker in ledger.workers_by_id.values()
-        ]
-        job_ids = sorted(ledger.dirty)[:MAX_BATCH_JOBS]
-        if len(job_ids) < len(ledger.dirty):
-            acknowledging = []
-            self._flush_waiters = waiters + self._flush_waiters
-            waiters = []
+        if not self._pass.job_ids:
+            self._pass = _Pass(
+                sorted(ledger.dirty),
+                self._flush_waiters,
+                [(each, each.applied) for each in ledger.workers_by_id.values()],
+            )
+            self._flush_waiters = []
+        job_ids = self._pass.job_ids[:MAX_BATCH_JOBS]
+        del self._pass.job_ids[:MAX_BATCH_JOBS]
         ledger.dirty.difference_update(job_ids)
         await self._jobs.append(
             [
@@ -106,14 +126,19 @@
                 if job_id in ledger.jobs_by_id
             ]
         )
-        for worker, number in acknowledging:
+        if not self._pass.job_ids:
+            self._end_pass(self._pass)
+
+    def _end_pass(self, ended: _Pass) -> None:
+        """Acknowledge the ends, and wake those who waited for the progress."""
+        for worker, number in ended.acknowledging:
             worker.acknowledged = max(worker.acknowledged, number)
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
-        for waiter in waiters:
+        for waiter in ended.waiters:
             if not waiter.done():
                 waiter.set_result(None)
-        ledger.forget_finished_jobs()
+        self._ledger.forget_finished_jobs()
 
     async def clean_up(self) -> None:
         """Delete jobs past their retention time; compact those that ended before."""
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -155,13 +155,17 @@
             self._ledger.stop(run, "an earlier start order is unsettled")
         else:
             if outcome is OrderOutcome.BAD_TICKET:
-                step.advice.tickets_by_worker[run.worker.incarnation_id].expires_at = (
-                    0.0
-                )
+                # A worker may know the terms of a queue before the holder does.
+                ticket = step.advice.tickets_by_worker.get(run.worker.incarnation_id)
+                if ticket is not None:
+                    ticket.expires_at = 0.0
             elif outcome is OrderOutcome.UNREACHABLE:
                 run.worker.contact_at = float("-inf")
             elif outcome is OrderOutcome.BUSY:
                 run.worker.health.on_failed(self._clock.now())
+            elif outcome is OrderOutcome.NO_CAPACITY:
+                # The ledger may never learn why; other workers are to be tried first.
+                step.failed_on.add(run.worker.worker_id)
             self._ledger.withdraw(run)
             if step.spec.gang:
                 for other in step.runs():
