Bound the wait of an advice call behind others of a higher rank

One of four calls is now the one that has waited longest, if that is more than a second. The order of the queued calls has a module of its own.

Red before: test_first_request_is_not_behind_renewals_for_ever (10 s).

--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -1,4 +1,4 @@
-"""Dispatch of requests for admission advice, highest rank first.
+"""Dispatch of requests for admission advice.
 
 The advice service processes one call at a time per calling VM, so calls are spread over
 the entry VMs. A part of the VMs is reserved for fast calls.
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from briarrun_cell.advice_candidates import MAX_WORKERS, ApprovalRates
+from briarrun_cell.advice_queue import Call, CallQueue, Request
 from briarrun_cell.clock import Clock
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.jobs import Step, Ticket
@@ -21,12 +21,8 @@
 from briarrun_cell.model import AdviceTerms, StepId
 from briarrun_cell.planner import AdviceRequest
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable
-from briarrun_cell.ranking import Rank
 from briarrun_cell.workers import Worker
 
-SLOW_CALL_S = 0.08
-"""Expected duration above which a call counts as slow."""
-
 RESERVED_FOR_FAST_FRACTION = 0.34
 """Fraction of the VMs that is reserved for fast calls."""
 
@@ -91,33 +87,6 @@
     failures: int = 0
 
 
-@dataclass(slots=True)
-class _Request:
-    """Request of a step with the number of its calls that have not ended."""
-
-    step: Step
-    open_calls: int
-
-    def end_call(self) -> None:
-        self.open_calls -= 1
-        if not self.open_calls:
-            self.step.advice.request_in_flight = False
-
-
-@dataclass(slots=True, order=True)
-class _Call:
-    rank: Rank
-    number: int
-    request: _Request = field(compare=False)
-    workers: tuple[Worker, ...] = field(compare=False)
-    expected_s: float = field(compare=False)
-
-    @property
-    def slow(self) -> bool:
-        """Whether the call occupies a VM for so long that others are to be left."""
-        return self.expected_s > SLOW_CALL_S
-
-
 def _max_slow_calls(vms: int) -> int:
     """Return how many of the VMs may make slow calls at the same time."""
     return max(1, vms - max(1, int(vms * RESERVED_FOR_FAST_FRACTION)))
@@ -150,8 +119,7 @@
         self._rates = rates
         self._on_answer = on_answer
         self._channels_by_vm: dict[str, _Channel] = {}
-        self._fast_calls: list[_Call] = []
-        self._slow_calls: list[_Call] = []
+        self._calls = CallQueue()
         self._last_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -164,23 +132,24 @@
         workers = request.workers[:MAX_WORKERS]
         step.advice.request_in_flight = True
         parts = divide(workers, terms, len(self._vms()))
-        open_request = _Request(step, len(parts))
+        open_request = Request(step, len(parts))
         for part in parts:
             self._last_number += 1
-            call = _Call(
-                request.rank,
-                self._last_number,
-                open_request,
-                part,
-                terms.call_s(len(part)),
+            self._calls.push(
+                Call(
+                    request.rank,
+                    self._last_number,
+                    open_request,
+                    part,
+                    terms.call_s(len(part)),
+                    self._clock.now(),
+                )
             )
-            heapq.heappush(self._slow_calls if call.slow else self._fast_calls, call)
         self._dispatch()
 
     def close(self) -> None:
         """Drop all queued requests and cancel calls in flight."""
-        self._fast_calls.clear()
-        self._slow_calls.clear()
+        self._calls.clear()
         if self._timer is not None:
             self._timer.cancel()
         for task in self._tasks:
@@ -200,7 +169,7 @@
             1 for channel in alive if channel.busy and channel.slow
         )
         while free:
-            call = self._pop_call(slow_allowed=slow_left > 0)
+            call = self._calls.pop(now, slow_allowed=slow_left > 0)
             if call is None:
                 break
             channel = _choose_channel(free, call.slow)
@@ -211,22 +180,10 @@
             task = asyncio.get_running_loop().create_task(self._run(channel, call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if (self._fast_calls or self._slow_calls) and self._timer is None:
+        if self._calls and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(RETRY_S, self._on_timer)
 
-    def _pop_call(self, slow_allowed: bool) -> _Call | None:
-        """Remove and return the call of the highest rank that may be made now."""
-        for queue in (self._fast_calls, self._slow_calls):
-            while queue and queue[0].request.step.job.final:
-                heapq.heappop(queue).request.end_call()
-        queues = [self._fast_calls] if self._fast_calls else []
-        if slow_allowed and self._slow_calls:
-            queues.append(self._slow_calls)
-        if not queues:
-            return None
-        return heapq.heappop(min(queues, key=lambda queue: queue[0]))
-
     def _on_timer(self) -> None:
         self._timer = None
         self._dispatch()
@@ -240,7 +197,7 @@
                 self._channels_by_vm[vm.vm] = _Channel(vm)
         return [self._channels_by_vm[vm.vm] for vm in vms]
 
-    async def _run(self, channel: _Channel, call: _Call) -> None:
+    async def _run(self, channel: _Channel, call: Call) -> None:
         step = call.request.step
         sent_at = self._clock.now()
         try:
