Read what other processes wrote through one bounded decoder

Tasks ended with RecursionError on an answer nested 100,000 deep: it is no ValueError, so no reader expected it. The clients of the log, upstreams and workers (adapters) and the command line caught only DecodeError.

Ruled out: only to map RecursionError. It depends on the depth of the caller's stack, so the same record would be readable in one task and not in another.

By reading, not by a run: the command line.

--- a/packages/adapters/src/briarrun_adapters/platform.py
+++ b/packages/adapters/src/briarrun_adapters/platform.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from briarrun_wire.decode import DecodeError, decode_json
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_types import HttpFailure, HttpResponse
 
@@ -80,15 +81,15 @@
     if response.status != 200:
         return Error(_status_failure(response))
     try:
-        return Ok(msgspec.json.decode(response.body, type=response_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Ok(decode_json(response.body, response_type))
+    except DecodeError as error:
         return Error(PlatformFailure(False, f"malformed answer: {error}", 200))
 
 
 def _status_failure(response: HttpResponse) -> PlatformFailure:
     try:
-        body = msgspec.json.decode(response.body, type=_ErrorBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        body = decode_json(response.body, _ErrorBody)
+    except DecodeError:
         body = _ErrorBody()
     had_no_effect = 400 <= response.status < 500
     detail = f"status {response.status}: {body.reason} {body.detail}".strip()
--- a/packages/cli/src/briarrun_cli/entry_vm.py
+++ b/packages/cli/src/briarrun_cli/entry_vm.py
@@ -7,10 +7,10 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-import msgspec
 from expression import Result
 
 from briarrun_cli.exits import CommandError, ExitStatus
+from briarrun_wire.decode import DecodeError
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_types import OUTCOME_HEADER, HttpResponse
 
@@ -95,7 +95,7 @@
 def _decode(response: HttpResponse) -> Any:
     try:
         return response.json() if response.body else {}
-    except msgspec.DecodeError:
+    except DecodeError:
         return {"text": response.body.decode("utf-8", "replace")}
 
 
--- a/packages/wire/src/briarrun_wire/http_types.py
+++ b/packages/wire/src/briarrun_wire/http_types.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from briarrun_wire.decode import decode_json
+
 OUTCOME_HEADER = "Briarrun-Outcome"
 REQUEST_ID_HEADER = "Briarrun-Request-Id"
 START_BY_HEADER = "Briarrun-Start-By"
@@ -26,8 +28,8 @@
     client: str = ""
 
     def json(self) -> Any:
-        """Decode the JSON body, or raise ``msgspec.DecodeError``."""
-        return msgspec.json.decode(self.body)
+        """Decode the JSON body, or raise ``DecodeError``."""
+        return decode_json(self.body, Any)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +46,8 @@
         return next((v for n, v in self.headers if n.lower() == lowered), None)
 
     def json(self) -> Any:
-        """Decode the JSON body, or raise ``msgspec.DecodeError``."""
-        return msgspec.json.decode(self.body)
+        """Decode the JSON body, or raise ``DecodeError``."""
+        return decode_json(self.body, Any)
 
     @classmethod
     def of_json(
--- a/packages/wire/src/briarrun_wire/peer.py
+++ b/packages/wire/src/briarrun_wire/peer.py
@@ -17,7 +17,8 @@
 from expression import Error, Ok, Result
 from zmq.auth.base import Authenticator
 
-from briarrun_wire.codec import DecodeError, decode_message, encode_message
+from briarrun_wire.codec import decode_message, encode_message
+from briarrun_wire.decode import DecodeError
 from briarrun_wire.messages import CallRefused, PeerMessage, Ping, Pong
 from briarrun_wire.peer_link import Link, LinkSettings, try_send
 from briarrun_wire.peer_types import (
--- a/tests/test_adapters.py
+++ b/tests/test_adapters.py
@@ -13,6 +13,8 @@
 from briarrun_adapters.worker import HttpWorkerClient, Lease, StartReply, TaskStart
 from briarrun_core.resources import Resources
 from briarrun_wire.http_client import HttpPool
+from briarrun_wire.http_server import HttpHandler, HttpServer
+from briarrun_wire.http_types import HttpRequest, HttpResponse
 from tools.emulator.log_service import LogStandIn
 from tools.emulator.upstream import UpstreamStandIn
 from tools.emulator.vm_list import VmListStandIn
@@ -179,3 +181,28 @@
     listing = (await vms.fetch()).ok
     assert [vm.state for vm in listing.vms] == [VmState.LEAVING]
     await standin.close()
+
+
+class _FixedAnswer(HttpHandler):
+    """Answers every call with the same status and body."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self._response = HttpResponse(status, body)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        return self._response
+
+
+@pytest.mark.parametrize("status", [200, 409, 503])
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b"[" * 100_000, b'{"x":' + b"[" * 100_000]
+)
+async def test_odd_answer_is_a_failure(
+    pool: HttpPool, status: int, body: bytes
+) -> None:
+    """Guards against an answer that ends the caller's task instead of its call."""
+    server = HttpServer(_FixedAnswer(status, body))
+    await server.start()
+    result = await HttpLogService(server.address, pool).read(0)
+    assert result.is_error()
+    await server.close()
