Leave out job records that no holder can keep

A record of the job stream with a step of 10^9 tasks, a count of 400 digits, `after` with a step that does not exist or 10^9 repetitions became a job on every VM, and the holder makes a set of all its tasks. One nested 100,000 deep raised RecursionError, so the readers of the stream ended again and again.

The stored models have ranges now (64 bits; amounts up to 10^9; durations up to a year), and a job has at most 1,000 steps and 100,000 tasks over all occurrences. The sites' jobs have one or two steps of 2 to 10 tasks.

A job with more tasks that an earlier version accepted is no longer read; none is known.

--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from briarrun_core.resources import NOTHING, Resources
+from briarrun_wire.decode import Amount, DurationS, Int64, Unsigned
 
 
 class JobState(StrEnum):
@@ -69,30 +70,30 @@
     of None no limit on planned disruption.
     """
 
-    count: int = 1
+    count: Amount = 1
     need: Resources = NOTHING
-    estimated_ms: int = 0
-    after: tuple[int, ...] = ()
+    estimated_ms: Unsigned = 0
+    after: tuple[Amount, ...] = ()
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Amount = 0
     duplicates_allowed: bool = False
     service: bool = False
     filler: bool = False
     checkpoints: bool = False
     image: str = ""
-    tail_target_ms: int = 0
-    max_unavailable: int | None = None
+    tail_target_ms: Unsigned = 0
+    max_unavailable: Amount | None = None
 
 
 class AdviceTerms(msgspec.Struct, frozen=True, kw_only=True):
     """Duration of calls to the advice service for a queue, and validity of tickets."""
 
-    decision_s: float
-    per_worker_s: float
-    validity_s: float
+    decision_s: DurationS
+    per_worker_s: DurationS
+    validity_s: DurationS
 
     def call_s(self, workers: int) -> float:
         """Return the expected duration of a call about that many workers."""
@@ -110,11 +111,11 @@
     host: str
     path_prefix: str
     pool: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Int64 = 0
+    max_attempts: Int64 = 1
     stretch: float = 1.0
-    latency_target_s: float = 1.0
-    timeout_s: float = 3.0
+    latency_target_s: DurationS = 1.0
+    timeout_s: DurationS = 3.0
     public: bool = False
     advice: AdviceTerms | None = None
 
@@ -132,10 +133,10 @@
     customer: str
     payload: str
     steps: tuple[StepSpec, ...]
-    occurrences: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
-    accepted_ms: int = 0
+    occurrences: Amount = 0
+    first_due_ms: Unsigned = 0
+    interval_ms: Unsigned = 0
+    accepted_ms: Unsigned = 0
 
     @property
     def queue(self) -> str:
@@ -191,7 +192,7 @@
     """Entry of a worker in the registry of the store.
 
     ``born_ms`` is the start time of the worker process. It distinguishes incarnations
-    with the same id.
+    with the same id. A suspended worker gets no new runs.
     """
 
     worker_id: str
@@ -203,6 +204,7 @@
     labels: tuple[str, ...]
     rack: str
     draining: bool
+    suspended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -2,10 +2,25 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from briarrun_cell.model import JobSpec, JobState, Queue
 from briarrun_cell.ports import Record
+from briarrun_wire.decode import MAX_AMOUNT, Amount, DecodeError, Unsigned, decode_json
+
+MAX_STEPS = 1_000
+"""Maximum number of steps of a job."""
+
+MAX_TASKS = 100_000
+"""Maximum number of tasks of a job, over all its occurrences."""
+
+MAX_KEY_BYTES = 255
+"""Maximum size of the key of a record."""
+
+Index = Annotated[int, msgspec.Meta(ge=-1, le=MAX_AMOUNT)]
+"""Index of a task in its step, or -1 for a gang."""
 
 _JOB = "j/"
 _CANCEL = "c/"
@@ -21,10 +36,10 @@
     once. Failures of a gang have the index -1.
     """
 
-    done: list[int] = []
-    assigned_by_index: dict[int, str] = {}
-    failed_runs_by_index: dict[int, list[int]] = {}
-    checkpoints_by_index: dict[int, str] = {}
+    done: list[Amount] = []
+    assigned_by_index: dict[Index, str] = {}
+    failed_runs_by_index: dict[Index, list[Unsigned]] = {}
+    checkpoints_by_index: dict[Index, str] = {}
 
 
 class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -33,13 +48,13 @@
     begun: bool = False
     steps_by_key: dict[str, StepProgress] = {}
     final: JobState | None = None
-    final_ms: int = 0
+    final_ms: Unsigned = 0
 
 
 class Cancellation(msgspec.Struct, kw_only=True):
     """Cancellation of a job by a caller."""
 
-    cancelled_ms: int
+    cancelled_ms: Unsigned
 
 
 def progress_key(occurrence: int, step: int) -> str:
@@ -90,10 +105,36 @@
     return [Record(prefix + job_id, None) for prefix in (_JOB, _CANCEL, _PROGRESS)]
 
 
-class UnreadableRecord(ValueError):  # noqa: N818 - names the record
+class UnreadableRecord(DecodeError):  # noqa: N818 - names the record
     """A record of the job stream is malformed."""
 
 
+def check_key(key: str) -> None:
+    """Raise ``DecodeError`` if a key is none of the job stream."""
+    if key[:2] not in (_JOB, _CANCEL, _PROGRESS) or len(key) == len(_JOB):
+        raise DecodeError(f"unknown key {key!r}")
+    size = len(key.encode())
+    if size > MAX_KEY_BYTES:
+        raise DecodeError(f"key of {size} bytes; at most {MAX_KEY_BYTES}")
+
+
+def check_job(spec: JobSpec) -> None:
+    """Raise ``DecodeError`` if no holder can keep the job."""
+    if len(spec.steps) > MAX_STEPS:
+        raise DecodeError(f"job of {len(spec.steps)} steps; at most {MAX_STEPS}")
+    tasks = spec.runs * sum(step.count for step in spec.steps)
+    if tasks > MAX_TASKS:
+        raise DecodeError(f"job of {tasks} tasks; at most {MAX_TASKS}")
+    for number, step in enumerate(spec.steps):
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise DecodeError(f"steps[{number}].after must name earlier steps")
+        need = step.need
+        if min(need.cores, need.memory_mib, need.accelerators, need.slots) < 0:
+            raise DecodeError(f"steps[{number}] has a negative amount")
+        if max(need.cores, need.memory_mib, need.accelerators) > MAX_AMOUNT:
+            raise DecodeError(f"steps[{number}] has an amount above {MAX_AMOUNT}")
+
+
 def decode(
     record: Record,
 ) -> tuple[str, JobSpec | Cancellation | JobProgress | None]:
@@ -112,6 +153,9 @@
     if record.value is None:
         return job_id, None
     try:
-        return job_id, msgspec.json.decode(record.value, type=types[kind])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        content = decode_json(record.value, types[kind])
+        if isinstance(content, JobSpec):
+            check_job(content)
+        return job_id, content
+    except DecodeError as error:
         raise UnreadableRecord(f"{record.key}: {error}") from error
