Refuse entries, inventories, jobs and answers that are out of range

A caller whose job was nested deeply got 500, and a job of 5 million tasks 200.

Callers get 400 with the defect; jobs are bounded by the check of the job stream.

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -46,6 +46,8 @@
         ("POST", f"/nowhere/{JOB}", "key-roster", BODY, 404),
         ("POST", "/urgent/short", "key-roster", BODY, 400),
         ("POST", f"/urgent/{JOB}", "key-roster", b"{", 400),
+        ("POST", f"/urgent/{JOB}", "key-roster", b'{"x":' + b"[" * 100_000, 400),
+        ("POST", f"/urgent/{JOB}", "key-roster", b'{"steps":[{"count":5000000}]}', 400),
         ("PUT", f"/urgent/{JOB}", "key-roster", BODY, 400),
         ("GET", f"/urgent/{JOB}", "key-roster", b"", 410),
         ("DELETE", f"/urgent/{JOB}", "key-roster", b"", 410),
