Refuse calls and answers of other VMs that cannot be read

A call between VMs nested 100,000 deep raised RecursionError: the handler answered 500, which the caller of a relayed write must take for "unknown". An answer nested so deeply ended the front end's request for a state, or the request for advice. A ticket could be valid for a negative time or for ever. A relayed record with a key that is none of the job stream was stored; the length of a key is one byte on the wire, so one of 300 bytes fails when the store's client encodes the batch (read in the code, not run), and the writes of other callers in the batch stay open.

The calls use the bounded decoder, with ranges in their models, and a relayed key is checked before the record is queued. Unreadable answers count as none.

--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -20,7 +20,9 @@
 from briarrun_cell.model import JobState, StepId
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable, Advisor, Record
 from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.records import check_key
 from briarrun_cell.write_relay import RecordRelay
+from briarrun_wire.decode import Amount, DecodeError, DurationS, Unsigned, decode_json
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_server import HttpHandler
 from briarrun_wire.http_types import HttpRequest, HttpResponse
@@ -30,6 +32,9 @@
 STATE_PATH = "/v1/state"
 WAITING_PATH = "/v1/waiting"
 
+MAX_CALL_S = 600.0
+"""Maximum timeout that a peer may name."""
+
 _Answer = TypeVar("_Answer")
 
 _LOG = ComponentLog("front")
@@ -39,17 +44,17 @@
     """Request to a peer to call the advice service."""
 
     job_id: str
-    occurrence: int
-    step: int
+    occurrence: Amount
+    step: Amount
     worker_ids: list[str]
-    timeout_s: float
+    timeout_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_CALL_S)]
 
 
 class AdviseAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of the advice service."""
 
     tickets_by_worker: dict[str, str]
-    validity_s: float
+    validity_s: DurationS
 
 
 class RecordCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,7 +93,7 @@
 class WaitingAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Number of waiting jobs; see ``CountAnswer``."""
 
-    waiting: int
+    waiting: Unsigned
     current: bool
 
 
@@ -117,16 +122,18 @@
             return HttpResponse.of_error(404, "not-found", "no such call")
         try:
             return await handle(request.body)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except DecodeError as error:
             return HttpResponse.of_error(400, "invalid-request", str(error))
 
     async def _write(self, body: bytes) -> HttpResponse:
-        call = msgspec.json.decode(body, type=RecordCall)
-        outcome = await self._write_record(Record(call.key, call.value.encode()))
+        call = decode_json(body, RecordCall)
+        record = Record(call.key, call.value.encode())
+        check_key(record.key)
+        outcome = await self._write_record(record)
         return HttpResponse.of_json(200, RecordAnswer(outcome=outcome))
 
     async def _state(self, body: bytes) -> HttpResponse:
-        call = msgspec.json.decode(body, type=StateCall)
+        call = decode_json(body, StateCall)
         answer = await self._view.state(
             call.job_id, wait_for_outcome=call.wait_for_outcome
         )
@@ -135,14 +142,14 @@
         )
 
     async def _waiting(self, body: bytes) -> HttpResponse:
-        call = msgspec.json.decode(body, type=WaitingCall)
+        call = decode_json(body, WaitingCall)
         answer = await self._view.count_waiting(call.queue)
         return HttpResponse.of_json(
             200, WaitingAnswer(waiting=answer.waiting, current=answer.current)
         )
 
     async def _advise(self, body: bytes) -> HttpResponse:
-        call = msgspec.json.decode(body, type=AdviseCall)
+        call = decode_json(body, AdviseCall)
         step = StepId(call.job_id, call.occurrence, call.step)
         try:
             answer = await self._advisor.advise(step, call.worker_ids, call.timeout_s)
@@ -196,8 +203,8 @@
         if response.status != 200:
             raise AdviceUnavailable(f"{vm.vm}: status {response.status}")
         try:
-            answer = msgspec.json.decode(response.body, type=AdviseAnswer)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            answer = decode_json(response.body, AdviseAnswer)
+        except DecodeError as error:
             raise AdviceUnavailable(f"{vm.vm}: {error}") from error
         return AdviceAnswer(answer.tickets_by_worker, answer.validity_s)
 
@@ -237,8 +244,8 @@
         if response.status != 200:
             return WriteOutcome.UNKNOWN
         try:
-            return msgspec.json.decode(response.body, type=RecordAnswer).outcome
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return decode_json(response.body, RecordAnswer).outcome
+        except DecodeError as error:
             _LOG.warning("malformed answer to a relayed write", detail=str(error))
             return WriteOutcome.UNKNOWN
 
@@ -281,6 +288,6 @@
 
 def _decode_answer(body: bytes, kind: type[_Answer]) -> _Answer:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(body, kind)
+    except DecodeError as error:
         raise PeerUnavailable(f"malformed answer: {error}") from error
--- a/tests/cell/test_peers.py
+++ b/tests/cell/test_peers.py
@@ -6,19 +6,22 @@
 
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.job_view import CountAnswer, JobAnswer, JobView, PeerUnavailable
-from briarrun_cell.model import JobState
+from briarrun_cell.model import JobState, StepId
 from briarrun_cell.peers import (
+    ADVISE_PATH,
     RECORD_PATH,
     STATE_PATH,
     WAITING_PATH,
+    PeerAdviceProxy,
     PeerHandler,
     PeerRecordRelay,
     PeerReplicaClient,
 )
-from briarrun_cell.ports import Record
+from briarrun_cell.ports import AdviceUnavailable, Record
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_wire.http_client import HttpPool
-from briarrun_wire.http_server import HttpServer
+from briarrun_wire.http_server import HttpHandler, HttpServer
+from briarrun_wire.http_types import HttpRequest, HttpResponse
 from tests.test_http_client import ScriptedServer
 from tools.emulator.cell.fleet import FakeAdvisor
 
@@ -123,9 +126,20 @@
     return EntryVm(vm="replica", address=address, failure_domain="", region="")
 
 
-@pytest.mark.parametrize("path", [RECORD_PATH, STATE_PATH, WAITING_PATH])
+@pytest.mark.parametrize("path", [RECORD_PATH, STATE_PATH, WAITING_PATH, ADVISE_PATH])
 @pytest.mark.parametrize(
-    "body", [b"", b"[]", b"{}", b'{"key":1,"value":"x"}', b"\xff\xfe", b'{"key":"j/1"}']
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b'{"key":1,"value":"x"}',
+        b"\xff\xfe",
+        b'{"key":"j/1"}',
+        b'{"x":' + b"[" * 100_000,
+        b'{"key":"x/1","value":"{}"}',
+        b'{"key":"j/' + b"1" * 300 + b'","value":"{}"}',
+    ],
 )
 async def test_malformed_call_of_a_peer_is_refused(path: str, body: bytes) -> None:
     """Guards against a malformed message that ends the process or is stored."""
@@ -144,3 +158,48 @@
     assert not peer.records
     await pool.close()
     await peer.server.close()
+
+
+class _FixedAnswer(HttpHandler):
+    """Answers every call with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, self._body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff",
+        b"[" * 100_000,
+        b'{"x":' + b"[" * 100_000,
+        b'{"state":7,"current":true,"waiting":-1}',
+        b'{"waiting":' + b"9" * 400 + b',"current":true}',
+        b'{"tickets_by_worker":{},"validity_s":-1}',
+        b'{"tickets_by_worker":{},"validity_s":1e300}',
+    ],
+)
+async def test_odd_answer_of_a_peer_counts_as_none(body: bytes) -> None:
+    """Guards against an answer that ends the caller's request with another error."""
+    server = HttpServer(_FixedAnswer(body))
+    await server.start()
+    pool = HttpPool()
+    vm = _vm(server.address)
+    client = PeerReplicaClient(pool)
+    with pytest.raises(PeerUnavailable):
+        await client.state_at(vm, "1", False, 2.0)
+    with pytest.raises(PeerUnavailable):
+        await client.count_at(vm, "q", 2.0)
+    with pytest.raises(AdviceUnavailable):
+        proxy = PeerAdviceProxy("other", FakeAdvisor(), pool)
+        await proxy.ask_via(vm, StepId("1", 0, 0), ["w"], 2.0)
+    outcome = await PeerRecordRelay(pool).write_via(
+        server.address, Record("j/1", b"{}"), send_within_s=1.0, timeout_s=2.0
+    )
+    assert outcome is WriteOutcome.UNKNOWN
+    await pool.close()
+    await server.close()
