Follow the records behind one that cannot be read

Operators saw machines end again and again, or stop following the workers, after another writer had left one odd entry. `on_records` raised, the tail's task restarted after 0.3 s, read the same record and failed again, on every VM; entries behind it were never seen.

Each record is read by itself now. One that cannot be read is counted by topic (`briarrun_unreadable_records`), logged in one line of bounded length until its key is readable again, and left out. If a listener raises anything else, the tail passes the records one by one, counts the one that fails and goes on.

The worker stays with its last readable entry, but suspended: it gets no new runs, while polls go on, so its runs keep their leases, also if another VM that knows it takes over. Treating the entry as removed was ruled out: a new holder would know the worker for a few seconds only, and a draining worker whose connection is refused would count as dead. The last readable configuration stays in force.

--- a/packages/cell/src/briarrun_cell/config_view.py
+++ b/packages/cell/src/briarrun_cell/config_view.py
@@ -8,8 +8,10 @@
 
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import CellConfig
-from briarrun_cell.ports import Record
+from briarrun_cell.ports import Record, Topic
 from briarrun_cell.tail import TopicListener
+from briarrun_cell.unreadable import UnreadableRecords
+from briarrun_wire.decode import DecodeError
 
 _LOG = ComponentLog("config")
 
@@ -21,15 +23,19 @@
     def decode_config(self, record: Record) -> CellConfig | None:
         """Return the configuration, or None if the record is of another kind.
 
-        Raises ``ValueError`` if the configuration is malformed.
+        Raises ``DecodeError`` if the configuration cannot be read.
         """
 
 
 class ConfigView(TopicListener):
-    """The configuration with the highest version in the config topic."""
+    """The configuration with the highest version in the config topic.
+
+    One that cannot be read leaves the last readable one in force.
+    """
 
     def __init__(self, decoder: ConfigDecoder) -> None:
         self._decoder = decoder
+        self._unreadable = UnreadableRecords(Topic.CONFIG, _LOG)
         self._first_config = asyncio.Event()
         self.config = CellConfig(version=-1)
 
@@ -53,9 +59,11 @@
                 continue
             try:
                 config = self._decoder.decode_config(record)
-            except ValueError as error:
-                _LOG.error("ignored malformed configuration", detail=str(error))
+            except DecodeError as error:
+                effect = f"version {self.config.version} stays in force"
+                self._unreadable.add(record, error, effect)
                 continue
+            self._unreadable.clear(record.key)
             if config is not None and config.version > self.config.version:
                 _LOG.info(
                     "new configuration in force",
--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -8,13 +8,14 @@
 
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import FINAL_STATES, JobSpec, JobState
-from briarrun_cell.ports import Record
+from briarrun_cell.ports import Record, Topic
 from briarrun_cell.records import (
     Cancellation,
     JobProgress,
     UnreadableRecord,
     decode,
 )
+from briarrun_cell.unreadable import UnreadableRecords
 
 _LOG = ComponentLog("jobs")
 
@@ -52,10 +53,15 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, JobEntry] = {}
-        self.unreadable = 0
+        self._unreadable = UnreadableRecords(Topic.JOBS, _LOG)
         self.listeners: list[Callable[[str], None]] = []
         self._outcome_waiters_by_id: dict[str, set[asyncio.Future[None]]] = {}
 
+    @property
+    def unreadable(self) -> int:
+        """Number of records that could not be read."""
+        return self._unreadable.count
+
     def reset(self, records: Iterable[Record]) -> None:
         """Replace the table by a snapshot, the newest record of each key."""
         old = set(self.by_id)
@@ -112,9 +118,9 @@
         try:
             job_id, content = decode(record)
         except UnreadableRecord as error:
-            self.unreadable += 1
-            _LOG.warning("ignored malformed job record", detail=str(error))
+            self._unreadable.add(record, error, "the job stays as it was")
             return None
+        self._unreadable.clear(record.key)
         if content is None:
             self.by_id.pop(job_id, None)
             return job_id
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from briarrun_cell import unreadable
 from briarrun_cell.explanation import REASONS
 
 _WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 15.0)
@@ -14,7 +15,10 @@
 
 
 class Metrics:
-    """Metrics of one process, in a separate registry."""
+    """Metrics of one process, in a separate registry.
+
+    The count of unreadable records is that of all cells in the process.
+    """
 
     def __init__(self) -> None:
         registry = self.registry = CollectorRegistry()
@@ -70,6 +74,7 @@
             "Log lines dropped since the last notice of it.",
             registry=registry,
         )
+        registry.register(unreadable.RECORDS)
 
     def observe_call(
         self, customer: str, kind: str, status: int, seconds: float
--- a/packages/cell/src/briarrun_cell/registry.py
+++ b/packages/cell/src/briarrun_cell/registry.py
@@ -4,12 +4,15 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import WorkerEntry
-from briarrun_cell.ports import Record
+from briarrun_cell.ports import Record, Topic
 from briarrun_cell.tail import TopicListener
+from briarrun_cell.unreadable import UnreadableRecords
+from briarrun_wire.decode import DecodeError
 
 _LOG = ComponentLog("registry")
 
@@ -21,14 +24,15 @@
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerEntry:
         """Return the entry of a worker.
 
-        Raises ``ValueError`` if it is malformed.
+        Raises ``DecodeError`` if it cannot be read.
         """
 
 
 class WorkerRegistry(TopicListener):
-    """Registered workers; malformed entries are ignored.
+    """Registered workers.
 
-    Removed entries are kept for ``retention_s``, since the runs of these workers may
+    A worker whose newest entry cannot be read stays with its last readable entry, but
+    suspended: its runs keep their leases and it gets no new ones. Removed entries are kept for ``retention_s``, since the runs of these workers may
     continue until their leases expire.
     """
 
@@ -38,9 +42,14 @@
         self._retention_s = retention_s
         self.by_id: dict[str, WorkerEntry] = {}
         self._left_by_id: dict[str, tuple[float, WorkerEntry]] = {}
-        self.unreadable = 0
+        self._unreadable = UnreadableRecords(Topic.WORKERS, _LOG)
         self.on_change: Callable[[], None] | None = None
 
+    @property
+    def unreadable(self) -> int:
+        """Number of entries that could not be read."""
+        return self._unreadable.count
+
     def on_snapshot(self, records: Sequence[Record], sent_at: float) -> None:
         """Replace the registry by a snapshot."""
         named = {record.key for record in records}
@@ -52,18 +61,18 @@
         """Add, replace or remove entries."""
         for record in records:
             if record.value is None:
+                self._unreadable.clear(record.key)
                 self._leave(record.key)
                 continue
             try:
                 entry = self._decoder.decode_worker(record.key, record.value)
-            except ValueError as error:
-                self.unreadable += 1
-                _LOG.warning(
-                    "ignored malformed entry of a worker",
-                    worker=record.key,
-                    detail=str(error),
-                )
+            except DecodeError as error:
+                self._unreadable.add(record, error, "the worker gets no new runs")
+                known = self.by_id.get(record.key)
+                if known is not None:
+                    self.by_id[record.key] = replace(known, suspended=True)
                 continue
+            self._unreadable.clear(record.key)
             self.by_id[record.key] = entry
             self._left_by_id.pop(record.key, None)
         if self.on_change is not None:
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -16,6 +16,7 @@
     StoreUnavailable,
     Topic,
 )
+from briarrun_cell.unreadable import UnreadableRecords
 
 RETRY_S = 0.1
 """Pause after a read that failed."""
@@ -37,7 +38,7 @@
 
 
 class TopicListener(ABC):
-    """Receiver of the records of a topic."""
+    """Receiver of the records of a topic; it may get a record more than once."""
 
     @abstractmethod
     def on_snapshot(self, records: Sequence[Record], sent_at: float) -> None:
@@ -74,6 +75,7 @@
         self._topic = topic
         self._listener = listener
         self._clock = clock
+        self._unapplied = UnreadableRecords(topic, _LOG)
         self._wait_s = wait_s
         self.read_pause_s = read_pause_s
         self.next_offset: int | None = None
@@ -149,7 +151,11 @@
     async def _load(self) -> None:
         sent_at = self._clock.now()
         result = await self._store.newest(self._topic, timeout_s=LOAD_TIMEOUT_S)
-        self._listener.on_snapshot(result.records, sent_at)
+        try:
+            self._listener.on_snapshot(result.records, sent_at)
+        except Exception:  # The snapshot would be read again for ever.
+            _LOG.error("applying a snapshot record by record", topic=self._topic)
+            self._apply_each(result.records, sent_at)
         self._advance(result.end, sent_at)
 
     async def _follow(self, start: int) -> None:
@@ -164,7 +170,7 @@
         )
         following = start + len(result.records)
         if result.records:
-            self._listener.on_records(result.records, sent_at)
+            self._apply(result.records, sent_at)
         if following >= result.end:
             self._advance(following, sent_at)
         else:
@@ -172,6 +178,24 @@
         if self.read_pause_s and result.records:
             await self._pause()
 
+    def _apply(self, records: Sequence[Record], sent_at: float) -> None:
+        """Pass records to the listener, without those on which it fails."""
+        try:
+            self._listener.on_records(records, sent_at)
+        except Exception:  # The records would be read again for ever.
+            _LOG.error("applying records one by one", topic=self._topic)
+            self._apply_each(records, sent_at)
+
+    def _apply_each(self, records: Sequence[Record], sent_at: float) -> None:
+        """Pass records to the listener one by one; it may have applied some before."""
+        for record in records:
+            try:
+                self._listener.on_records([record], sent_at)
+            except Exception as error:  # One record must not hide the others.
+                self._unapplied.add(record, error, "the record is left out")
+            else:
+                self._unapplied.clear(record.key)
+
     async def _pause(self) -> None:
         """Pause until the next read, or until ``refresh`` is called."""
         self._read_now.clear()
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -168,6 +168,7 @@
             and self.registered
             and not self.dead
             and not self.entry.draining
+            and not self.entry.suspended
             and now - self.contact_at <= MAX_CONTACT_AGE_S
         )
 
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -33,6 +33,7 @@
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
 from briarrun_core.resources import NOTHING, Resources
+from briarrun_wire.decode import DecodeError
 from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
 from tools.emulator.cell.peers import DirectProxy, DirectRelay, DirectReplicas
 from tools.emulator.cell.store import FakeStore, StoreView
@@ -58,8 +59,11 @@
         return self.configs[int(record.value)]
 
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerEntry:
-        """Return the entry that the record names; raises ``ValueError``."""
-        return self.entries[int(value)]
+        """Return the entry that the record names; raises ``DecodeError``."""
+        try:
+            return self.entries[int(value)]
+        except (ValueError, IndexError) as error:
+            raise DecodeError(f"entry {value!r} is unknown") from error
 
 
 class GatedWorkers(Workers):
