Give a restarted worker no work while its entry cannot be read

A worker that starts again under its id is noticed by a poll, often before its new entry is in the registry. If its next entry could not be read, the last readable one was of the earlier life, which the ledger ignores, so the worker got new runs. The ledger takes over that the entry is suspended; the next readable entry of the life replaces it.

Red before: test_restarted_worker_whose_entry_turned_odd_gets_no_work (two tasks started on the worker).

--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -106,6 +106,8 @@
             if known is not None and known.entry.born_ms >= entry.born_ms:
                 if known.entry.born_ms == entry.born_ms:
                     known.update_entry(entry)
+                elif entry.suspended:
+                    known.update_entry(replace(known.entry, suspended=True))
                 continue
             if known is not None:
                 self.on_worker_dead(known, "started again under its id")
--- a/tests/cell/test_odd_entries.py
+++ b/tests/cell/test_odd_entries.py
@@ -151,6 +151,27 @@
         cell.close()
 
 
+async def test_restarted_worker_whose_entry_turned_odd_gets_no_work() -> None:
+    """Guards against work for a life of a worker that has no readable entry."""
+    cell = FakeCell(1)
+    cell.decoder = _MixedDecoder()
+    cell.options.workers = 0
+    try:
+        await cell.start()
+        await cell.wait_for_holder()
+        worker = cell.add_worker("w0")
+        await asyncio.sleep(2.0)
+        cell.fleet.rebirth(worker)
+        await asyncio.sleep(10.0)
+        cell.store.put(Topic.WORKERS, "w0", DEEP)
+        await asyncio.sleep(2.0)
+        spec = cell.spec()
+        await cell.submit(spec)
+        assert await cell.finished({spec.job_id}, 5.0)
+    finally:
+        cell.close()
+
+
 async def test_repeated_odd_entry_of_a_key_is_logged_once() -> None:
     """Guards against a log that is filled by one writer, and against lines of any length."""
     registry = new_registry()
