Split the planner: rounds, turns, limits of customers, reasons of waits

What a round has in common, the turns of blocked steps, the limits of customers and the reasons of waits are modules of their own now.

One change beside the moves: a step is said to wait for advice only if workers that take orders were not asked about; an unreachable one counted, too, so that the reason "workers" did not come up.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -12,27 +10,26 @@
     ApprovalRates,
     choose_candidates,
 )
+from briarrun_cell.customer_limits import CustomerLimits
 from briarrun_cell.fitting import (
     fit,
     fits_when_empty,
-    largest_free,
     resources_per_task,
     roomiest,
     task_capacity,
-    tasks_fit,
 )
 from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
+from briarrun_cell.planning_round import TICKET_MARGIN_S, PlanningRound
 from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
+from briarrun_cell.turns import MAX_BLOCKED_STEPS, next_in_turn
+from briarrun_cell.wait_reasons import find_wait_reason
 from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import Run, Worker, worst_in_quarantine
-from briarrun_core.resources import NOTHING, Resources
-
-TICKET_MARGIN_S = 0.25
-"""Remaining validity below which a ticket is renewed before use."""
+from briarrun_core.resources import NOTHING
 
 MAX_RESERVING_GANGS = 2
 """Maximum number of waiting gangs with reserved workers, by rank."""
@@ -41,19 +38,6 @@
 """Maximum time for which workers are reserved for a gang. Without a limit, a gang that
 never fits would block all less urgent work."""
 
-MAX_BLOCKED_STEPS = 80
-"""Number of steps without a placement after which a round looks at no further workers
-in the order of rank. Steps whose customer is at its limit need no look at workers and
-do not count."""
-
-MIN_STEPS_IN_TURN = 40
-"""Number of later steps for which a round looks at workers all the same. They take
-turns, so that a step which fits is found however many others are blocked before it."""
-
-MAX_ROUNDS_BETWEEN_TURNS = 20
-"""Number of rounds in which each of the later steps has its turn, however many wait.
-Rounds are about 0.1 s apart at most, so that is 2 s."""
-
 MAX_ADVICE_REQUESTS = 32
 """Maximum number of advice requests of one round. Choosing the candidates of a request
 takes a millisecond on a large cell; after an outage hundreds of steps wait for one."""
@@ -62,10 +46,6 @@
 """Time for which a blocked step leaves the headroom and workers in quarantine alone, if
 the pool is not scarce."""
 
-SCARCE_FRACTION = 0.5
-"""Fraction of a pool in use from which capacity is scarce. Below it callers may expect
-that a job which could run does."""
-
 WAIT_CHECK_INTERVAL_S = 0.5
 """Interval at which the reason is found out for which a step waits."""
 
@@ -97,26 +77,6 @@
     advice_requests: list[AdviceRequest] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class _Round:
-    now: float
-    usable: list[Worker]
-    quarantined: list[Worker]
-    urgent_priority: int
-    largest: Resources
-    renewal_limits: RenewalLimits
-    pools: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
-    used_by_pool: dict[str, tuple[Resources, Resources]] = field(default_factory=dict)
-    reserved: set[str] = field(default_factory=set)
-    reserving: int = 0
-    kept_by_worker: dict[Worker, Resources] = field(default_factory=dict)
-    largest_is_exact: bool = True
-    blocked: int = 0
-    limited: int = 0
-    gangs_kept_fresh: int = 0
-    steps_kept_fresh: int = 0
-
-
 class Planner:
     """Places waiting steps in the order of their rank.
 
@@ -127,7 +87,7 @@
         self._ledger = ledger
         self._count_vms = count_vms
         self._headroom = UrgentHeadroom()
-        self._uncertain_usage_by_customer: dict[str, Resources] = {}
+        self._limits = CustomerLimits(ledger)
         self.rates = ApprovalRates()
 
     def plan(self) -> Plan:
@@ -139,30 +99,30 @@
         left_out = set(quarantined)
         usable = [w for w in alive if w not in left_out]
         priorities = [q.priority for q in ledger.config.queues_by_name.values()]
-        round_ = _Round(
+        round_ = PlanningRound(
             now,
             usable,
             quarantined,
             min(priorities, default=0),
-            largest_free(alive),
+            self._headroom,
             RenewalLimits.for_vms(self._count_vms()),
         )
-        self._uncertain_usage_by_customer = ledger.uncertain_usage_by_customer()
+        self._limits.refresh()
         plan = Plan()
         later = []
         for step_rank, step in self._waiting(now, usable):
-            if not self._within_limit(step):
+            if not self._limits.admit(step):
                 self._pass_over_limited(step, step_rank, round_, plan)
             elif round_.blocked < MAX_BLOCKED_STEPS:
                 self._try_plan_step(step, step_rank, round_, plan)
             else:
                 later.append((step_rank, step))
-        for step_rank, step in _next_in_turn(later, round_):
+        for step_rank, step in next_in_turn(later, round_.largest, now):
             self._try_plan_step(step, step_rank, round_, plan)
         return plan
 
     def _try_plan_step(
-        self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
+        self, step: Step, step_rank: Rank, round_: PlanningRound, plan: Plan
     ) -> None:
         try:
             self._plan_step(step, step_rank, round_, plan)
@@ -175,7 +135,7 @@
             )
 
     def _pass_over_limited(
-        self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
+        self, step: Step, step_rank: Rank, round_: PlanningRound, plan: Plan
     ) -> None:
         """Note the wait of a step whose customer is at its limit.
 
@@ -185,7 +145,7 @@
         round_.limited += 1
         advised = step.job.queue.advice is not None
         if advised and not step.advice.answered and round_.limited <= MAX_BLOCKED_STEPS:
-            self._request_advice(step, step_rank, _pool_of(step, round_), round_, plan)
+            self._request_advice(step, step_rank, round_.pool_of(step), round_, plan)
 
     def _waiting(self, now: float, usable: list[Worker]) -> list[tuple[Rank, Step]]:
         ledger = self._ledger
@@ -206,14 +166,14 @@
         return waiting
 
     def _plan_step(
-        self, step: Step, step_rank: Rank, round_: _Round, plan: Plan
+        self, step: Step, step_rank: Rank, round_: PlanningRound, plan: Plan
     ) -> None:
         step.examined_at = round_.now
         step.advice.requested = step.advice.request_in_flight
-        pool = _pool_of(step, round_)
+        pool = round_.pool_of(step)
         yields = self._yields(step, round_)
         if not yields:
-            pool = pool + _in_pool(step, round_.quarantined)
+            pool = pool + round_.quarantined_of(step)
         advised = step.job.queue.advice is not None
         approved = pool
         if advised:
@@ -227,8 +187,8 @@
         need = resources_per_task(step)
         ready = [w for w in approved if need.fits_in(w.free())]
         if advised:
-            ready = [w for w in ready if self._ticket_is_fresh(step, w, round_.now)]
-        less_urgent = step.job.queue.priority > round_.urgent_priority
+            ready = [w for w in ready if round_.ticket_is_fresh(step, w)]
+        less_urgent = round_.is_less_urgent(step)
         sound = [w for w in ready if w not in round_.quarantined]
         if less_urgent and round_.reserved:
             sound = [w for w in sound if w.worker_id not in round_.reserved]
@@ -254,7 +214,7 @@
         if advised and step.startable:
             self._renew_tickets(step, step_rank, approved, round_, plan)
 
-    def _yields(self, step: Step, round_: _Round) -> bool:
+    def _yields(self, step: Step, round_: PlanningRound) -> bool:
         """Return whether the step leaves free capacity to others.
 
         Load pattern: a few jobs in a cell that is mostly idle, each approved for a few
@@ -265,88 +225,17 @@
             return True
         if step.wait is not None and step.wait.reason is WaitReason.WORKERS:
             return False
-        return self._is_scarce(step, round_)
-
-    def _is_scarce(self, step: Step, round_: _Round) -> bool:
-        """Return whether much of a resource that the step needs is in use."""
-        pool, need = step.job.queue.pool, step.spec.need
-        amounts = round_.used_by_pool.get(pool)
-        if amounts is None:
-            used = total = NOTHING
-            for worker in (*round_.usable, *round_.quarantined):
-                if worker.entry.pool == pool:
-                    used = used + worker.used
-                    total = total + worker.entry.capacity
-            amounts = round_.used_by_pool[pool] = (used, total)
-        used, total = amounts
-        return any(
-            amount and taken >= SCARCE_FRACTION * available
-            for amount, taken, available in (
-                (need.cores, used.cores, total.cores),
-                (need.memory_mib, used.memory_mib, total.memory_mib),
-                (need.accelerators, used.accelerators, total.accelerators),
-            )
-        )
+        return round_.is_scarce(step)
 
-    def _note_wait(self, step: Step, approved: list[Worker], round_: _Round) -> None:
+    def _note_wait(
+        self, step: Step, approved: list[Worker], round_: PlanningRound
+    ) -> None:
         """Record why the step was not placed; it is not found out in every round."""
         checked_at = step.wait.checked_at if step.wait else float("-inf")
         if round_.now >= checked_at + WAIT_CHECK_INTERVAL_S:
-            step.note_wait(self._wait_reason(step, approved, round_), round_.now)
-
-    def _wait_reason(
-        self, step: Step, approved: list[Worker], round_: _Round
-    ) -> WaitReason:
-        """Return the first of the conditions for a placement that is not met."""
-        if not self._within_limit(step):
-            return WaitReason.CUSTOMER_LIMIT
-        count = step.spec.count if step.spec.gang else 1
-        if not tasks_fit(step, count, (w.entry.capacity for w in approved)):
-            return self._lack_of_workers(step, count)
-        if not tasks_fit(step, count, (w.free() for w in approved)):
-            return self._lack_of_capacity(step, count, approved, round_)
-        headroom = step.job.queue.priority > round_.urgent_priority
-        available = {w: self._available(w, round_, headroom=headroom) for w in approved}
-        if not tasks_fit(step, count, available.values()):
-            return WaitReason.HEADROOM
-        if step.job.queue.advice is not None:
-            fresh = [
-                free
-                for worker, free in available.items()
-                if self._ticket_is_fresh(step, worker, round_.now)
-            ]
-            if not tasks_fit(step, count, fresh):
-                return WaitReason.TICKETS
-        # The only other conditions are a reservation, and the number of tasks of the
-        # step that a worker may hold.
-        return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
-
-    def _lack_of_capacity(
-        self, step: Step, count: int, approved: list[Worker], round_: _Round
-    ) -> WaitReason:
-        """Return why the approved workers have too little free capacity."""
-        quarantined = _in_pool(step, round_.quarantined)
-        if step.job.queue.advice is not None:
-            tickets = step.advice.tickets_by_worker
-            quarantined = [w for w in quarantined if w.incarnation_id in tickets]
-        free = [worker.free() for worker in {*approved, *quarantined}]
-        if tasks_fit(step, count, free):
-            return WaitReason.QUARANTINE
-        return WaitReason.CAPACITY
-
-    def _lack_of_workers(self, step: Step, count: int) -> WaitReason:
-        """Return why the usable and approved workers are not enough for the step."""
-        pool = _in_pool(step, self._ledger.workers_by_id.values())
-        if step.job.queue.advice is not None:
-            if any(w.incarnation_id not in step.advice.queried for w in pool):
-                return WaitReason.ADVICE
-            tickets = step.advice.tickets_by_worker
-            pool = [w for w in pool if w.incarnation_id in tickets]
-            if not pool:
-                return WaitReason.NOT_APPROVED
-        if tasks_fit(step, count, (w.entry.capacity for w in pool)):
-            return WaitReason.WORKERS
-        return WaitReason.SIZE
+            known = self._ledger.workers_by_id.values()
+            reason = find_wait_reason(step, approved, known, round_)
+            step.note_wait(reason, round_.now)
 
     # Advice
 
@@ -355,7 +244,7 @@
         step: Step,
         step_rank: Rank,
         pool: list[Worker],
-        round_: _Round,
+        round_: PlanningRound,
         plan: Plan,
     ) -> None:
         """Request advice for the step, and for further workers while it is blocked."""
@@ -369,22 +258,18 @@
         unqueried = _unqueried(step, pool)
         if not unqueried:
             # Approval lasts longer than a quarantine.
-            unqueried = _unqueried(step, _in_pool(step, round_.quarantined))
+            unqueried = _unqueried(step, round_.quarantined_of(step))
         if unqueried:
             candidates = choose_candidates(step, unqueried, self.rates)
             plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
             advice.request_in_flight = advice.requested = True
 
-    def _ticket_is_fresh(self, step: Step, worker: Worker, now: float) -> bool:
-        ticket = step.advice.tickets_by_worker.get(worker.incarnation_id)
-        return ticket is not None and now + TICKET_MARGIN_S <= ticket.expires_at
-
     def _renew_tickets(
         self,
         step: Step,
         step_rank: Rank,
         approved: list[Worker],
-        round_: _Round,
+        round_: PlanningRound,
         plan: Plan,
     ) -> None:
         """Renew the tickets of a waiting step in a single request.
@@ -398,7 +283,7 @@
         if terms is None or advice.request_in_flight or round_.now < advice.retry_at:
             return
         soon = round_.now + terms.call_s(len(approved)) + TICKET_MARGIN_S
-        if not self._within_limit(step):
+        if not self._limits.admit(step):
             return
         stale = [
             w
@@ -408,8 +293,7 @@
         if not stale:
             return
         if not self._keeps_tickets_fresh(step, round_) and not any(
-            task_capacity(step, w.free())
-            and not self._ticket_is_fresh(step, w, round_.now)
+            task_capacity(step, w.free()) and not round_.ticket_is_fresh(step, w)
             for w in stale
         ):
             return
@@ -418,7 +302,7 @@
         plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
         advice.request_in_flight = advice.requested = True
 
-    def _keeps_tickets_fresh(self, step: Step, round_: _Round) -> bool:
+    def _keeps_tickets_fresh(self, step: Step, round_: PlanningRound) -> bool:
         """Return whether the tickets of the step are to be renewed in advance."""
         if step.spec.gang:
             round_.gangs_kept_fresh += 1
@@ -428,48 +312,18 @@
 
     # Capacity
 
-    def _available(
-        self, worker: Worker, round_: _Round, *, headroom: bool
-    ) -> Resources:
-        """Return the free resources, without the headroom if that is to be left."""
-        if not headroom:
-            return worker.free()
-        kept = round_.kept_by_worker.get(worker)
-        if kept is None:
-            kept = round_.kept_by_worker[worker] = self._headroom.kept_on(worker)
-        return worker.free() - kept
-
-    def _tasks_within_limit(self, step: Step) -> int:
-        """Return how many pending tasks the customer's limit allows to start."""
-        name = step.job.spec.customer
-        customer = self._ledger.config.customers_by_name.get(name)
-        count = len(step.pending)
-        if customer is None:
-            return count
-        used = self._ledger.usage_by_customer.get(name, NOTHING)
-        used = used + self._uncertain_usage_by_customer.get(name, NOTHING)
-        need, limit = step.spec.need, customer.limit
-        for amount, bound, taken in (
-            (need.cores, limit.cores, used.cores),
-            (need.memory_mib, limit.memory_mib, used.memory_mib),
-            (need.accelerators, limit.accelerators, used.accelerators),
-        ):
-            if amount and bound:
-                count = min(count, max(0, (bound - taken) // amount))
-        return count
-
-    def _within_limit(self, step: Step) -> bool:
-        """Return whether the customer's limit allows a start: of a gang, all tasks."""
-        wanted = step.spec.count if step.spec.gang else 1
-        return self._tasks_within_limit(step) >= wanted
-
     def _choose_workers(
-        self, step: Step, allowed: list[Worker], round_: _Round, *, headroom: bool
+        self,
+        step: Step,
+        allowed: list[Worker],
+        round_: PlanningRound,
+        *,
+        headroom: bool,
     ) -> list[tuple[int, Worker]]:
         """Return a worker for each task to start; for a gang, all or none."""
         if not resources_per_task(step).fits_in(round_.largest):
             return []
-        indexes = self._ledger.startable(step)[: self._tasks_within_limit(step)]
+        indexes = self._ledger.startable(step)[: self._limits.tasks_admitted(step)]
         if step.spec.gang and len(indexes) < step.spec.count:
             return []
         if step.spec.same_rack:
@@ -479,9 +333,8 @@
                 if len(chosen) == len(indexes):
                     return chosen
         chosen = self._fit(step, indexes, allowed, round_, headroom=headroom)
-        if not chosen and not round_.largest_is_exact:
-            round_.largest = largest_free([*round_.usable, *round_.quarantined])
-            round_.largest_is_exact = True
+        if not chosen:
+            round_.correct_largest()
         if step.spec.gang and len(chosen) < step.spec.count:
             return []
         return chosen
@@ -491,24 +344,28 @@
         step: Step,
         indexes: list[int],
         allowed: Iterable[Worker],
-        round_: _Round,
+        round_: PlanningRound,
         *,
         headroom: bool,
     ) -> list[tuple[int, Worker]]:
         return fit(
             step,
             indexes,
-            {w: self._available(w, round_, headroom=headroom) for w in allowed},
+            {w: round_.available(w, headroom=headroom) for w in allowed},
         )
 
     def _mark_blocked(
-        self, step: Step, approved: list[Worker], less_urgent: bool, round_: _Round
+        self,
+        step: Step,
+        approved: list[Worker],
+        less_urgent: bool,
+        round_: PlanningRound,
     ) -> None:
         """Record that the step has no placement; reserve workers for the first gangs."""
         round_.blocked += 1
         if step.blocked_since is None:
             step.blocked_since = round_.now
-        if not step.spec.gang or self._tasks_within_limit(step) < step.spec.count:
+        if not step.spec.gang or self._limits.tasks_admitted(step) < step.spec.count:
             return
         if not fits_when_empty(step, approved):
             return
@@ -520,7 +377,7 @@
             round_.reserved.update(w.worker_id for w in reserved)
 
     def _workers_to_reserve(
-        self, step: Step, approved: list[Worker], round_: _Round
+        self, step: Step, approved: list[Worker], round_: PlanningRound
     ) -> Iterable[Worker]:
         """Return the workers to reserve for a gang that is blocked.
 
@@ -533,7 +390,7 @@
         chosen = self._fit(step, indexes, unreserved, round_, headroom=True)
         if len(chosen) == step.spec.count:
             return {worker for _, worker in chosen}
-        if self._is_scarce(step, round_):
+        if round_.is_scarce(step):
             return approved
         return roomiest(step, unreserved)
 
@@ -557,47 +414,3 @@
     if advice.answered and not step.spec.gang:
         unqueried = [w for w in unqueried if task_capacity(step, w.free())]
     return unqueried
-
-
-def _next_in_turn(
-    later: list[tuple[Rank, Step]], round_: _Round
-) -> list[tuple[Rank, Step]]:
-    """Return the steps after the first blocked ones that this round looks at, by rank.
-
-    These are the ones whose last look is the longest ago, of those that can be placed or
-    have to be asked about. An answer is used at once, since its tickets expire.
-    """
-    due = []
-    for number, (_, step) in enumerate(later):
-        unasked = step.job.queue.advice is not None and not step.advice.answered
-        if unasked and step.advice.request_in_flight:
-            step.note_wait(WaitReason.ADVICE, round_.now)
-        elif unasked or resources_per_task(step).fits_in(round_.largest):
-            if step.wait is None:
-                step.note_wait(WaitReason.TURN, round_.now)
-            answered = step.advice.requested and not step.advice.request_in_flight
-            due.append((float("-inf") if answered else step.examined_at, number))
-        else:
-            step.note_wait(WaitReason.CAPACITY, round_.now)
-    count = max(MIN_STEPS_IN_TURN, math.ceil(len(due) / MAX_ROUNDS_BETWEEN_TURNS))
-    chosen = heapq.nsmallest(count, due)
-    return [later[number] for number in sorted(number for _, number in chosen)]
-
-
-def _pool_of(step: Step, round_: _Round) -> list[Worker]:
-    """Return the usable workers in the pool of the step with the required label."""
-    key = (step.job.queue.pool, step.spec.required_label)
-    pool = round_.pools.get(key)
-    if pool is None:
-        pool = round_.pools[key] = _in_pool(step, round_.usable)
-    return pool
-
-
-def _in_pool(step: Step, workers: Iterable[Worker]) -> list[Worker]:
-    """Return the workers in the pool of the step with the required label."""
-    pool, label = step.job.queue.pool, step.spec.required_label
-    return [
-        worker
-        for worker in workers
-        if worker.entry.pool == pool and (not label or label in worker.entry.labels)
-    ]
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/wait_reasons.py
@@ -0,0 +1,76 @@
+"""Finds out why a step was not placed although its customer's limit admits it. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from briarrun_cell.fitting import tasks_fit
+from briarrun_cell.jobs import Step
+from briarrun_cell.planning_round import PlanningRound, in_pool
+from briarrun_cell.waiting import WaitReason
+from briarrun_cell.workers import Worker
+
+
+def find_wait_reason(
+    step: Step, approved: list[Worker], known: Iterable[Worker], round_: PlanningRound
+) -> WaitReason:
+    """Return the first of the conditions for a placement that is not met.
+
+    ``approved`` are the workers that the round could use for the step, ``known`` all
+    workers of the cell.
+    """
+    count = step.spec.count if step.spec.gang else 1
+    if not tasks_fit(step, count, (w.entry.capacity for w in approved)):
+        return _lack_of_workers(step, count, known, round_)
+    if not tasks_fit(step, count, (w.free() for w in approved)):
+        return _lack_of_capacity(step, count, approved, round_)
+    headroom = round_.is_less_urgent(step)
+    available = {w: round_.available(w, headroom=headroom) for w in approved}
+    if not tasks_fit(step, count, available.values()):
+        return WaitReason.HEADROOM
+    if step.job.queue.advice is not None:
+        fresh = [
+            free
+            for worker, free in available.items()
+            if round_.ticket_is_fresh(step, worker)
+        ]
+        if not tasks_fit(step, count, fresh):
+            return WaitReason.TICKETS
+    # The only other conditions are a reservation, and the number of tasks of the step
+    # that a worker may hold.
+    return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
+
+
+def _lack_of_capacity(
+    step: Step, count: int, approved: list[Worker], round_: PlanningRound
+) -> WaitReason:
+    """Return why the approved workers have too little free capacity."""
+    quarantined = _approved(step, round_.quarantined_of(step))
+    free = [worker.free() for worker in {*approved, *quarantined}]
+    if tasks_fit(step, count, free):
+        return WaitReason.QUARANTINE
+    return WaitReason.CAPACITY
+
+
+def _lack_of_workers(
+    step: Step, count: int, known: Iterable[Worker], round_: PlanningRound
+) -> WaitReason:
+    """Return why the usable and approved workers are not enough for the step."""
+    if step.job.queue.advice is not None:
+        reachable = [*round_.pool_of(step), *round_.quarantined_of(step)]
+        if any(w.incarnation_id not in step.advice.queried for w in reachable):
+            return WaitReason.ADVICE
+    pool = _approved(step, in_pool(step, known))
+    if not pool and step.job.queue.advice is not None:
+        return WaitReason.NOT_APPROVED
+    if tasks_fit(step, count, (w.entry.capacity for w in pool)):
+        return WaitReason.WORKERS
+    return WaitReason.SIZE
+
+
+def _approved(step: Step, workers: list[Worker]) -> list[Worker]:
+    """Return the workers approved for the step, all of them if it needs no advice."""
+    if step.job.queue.advice is None:
+        return workers
+    tickets = step.advice.tickets_by_worker
+    return [worker for worker in workers if worker.incarnation_id in tickets]
