--- a/packages/wire/src/briarrun_wire/decode.py
+++ b/packages/wire/src/briarrun_wire/decode.py
@@ -17,10 +17,13 @@
 """Length above which a description of unreadable input is cut."""
 
 MAX_INT64 = 2**63 - 1
+"""Maximum of an integer."""
+
 MAX_AMOUNT = 1_000_000_000
 """Maximum of an amount or a count, e.g. of millicores or mebibytes."""
 
 MAX_DURATION_S = 366 * 24 * 3600.0
+"""Maximum of a duration."""
 
 Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=MAX_INT64)]
 """Integer of 64 bits."""
--- a/tests/platform_adapter/test_odd_records.py
+++ b/tests/platform_adapter/test_odd_records.py
@@ -72,11 +72,11 @@
     "born of 400 digits": (_worker(born=HUGE), "born"),
     "born negative": (_worker(born=-5), "born"),
     "born a fraction": (_worker(born=1.5), "born"),
-    "bytes": (b"\xff\x00\x80", ""),
-    "empty": (b"", ""),
-    "NaN": (b'{"born":NaN}', ""),
+    "bytes": (b"\xff\x00\x80", "malformed"),
+    "empty": (b"", "truncated"),
+    "NaN": (b'{"born":NaN}', "malformed"),
     "label null": (_worker(labels=[None]), "labels"),
-    "half of a surrogate pair": (b'{"service":"\\ud800"}', ""),
+    "half of a surrogate pair": (b'{"service":"\\ud800"}', "truncated"),
 }
 
 
@@ -209,7 +209,10 @@
     "first run of 400 digits": (_job(firstRunMs=HUGE), "firstRunMs"),
     "limit per worker negative": (_job({"antiAffinity": -1}), "antiAffinity"),
     "unavailable negative": (_job({"maxUnavailable": -1}), "maxUnavailable"),
-    "text that is half of a surrogate pair": (b'{"specification":"\\ud800"}', ""),
+    "text that is half of a surrogate pair": (
+        b'{"specification":"\\ud800"}',
+        "truncated",
+    ),
 }
 
 
