--- a/tools/emulator/cell/idle.py
+++ b/tools/emulator/cell/idle.py
@@ -256,7 +256,7 @@
             sum(each in step.advice.queried for each in ids),
             sum(each in tickets and tickets[each].expires_at > now for each in ids),
             step.advice.request_in_flight,
-            Counter(_reason(each) for each in before),
+            dict(Counter(_reason(each) for each in before)),
         )
 
 
