Leave jobs out of the idle check whose start orders an unsound worker may carry out yet

It must not run twice, so it waits for the worker or its lease; 2.5 s after the worker is sound again it counts.

The customers of a replay have a module of their own.

--- a/tools/emulator/cell/holder_replay.py
+++ b/tools/emulator/cell/holder_replay.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import looptime
 import msgspec
@@ -31,7 +31,6 @@
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import (
     CellConfig,
-    Customer,
     JobSpec,
     StepId,
     StepSpec,
@@ -41,9 +40,9 @@
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.stream import JobStreamListener
 from briarrun_cell.tail import TopicTail
-from briarrun_core.resources import Resources
 from tools.emulator.cell.advice_service import EmulatedAdvice
 from tools.emulator.cell.cell import CONFIG_KEY, FakeDecoder
+from tools.emulator.cell.customers import usual_customers
 from tools.emulator.cell.faults import Fault
 from tools.emulator.cell.fleet import FakeWorker, Fleet
 from tools.emulator.cell.idle import IdleOracle, Violation
@@ -70,15 +69,6 @@
 
 WORKERS_PER_RACK = 12
 
-LIMIT_FACTOR = 1.9
-"""Limit of a customer as a multiple of its usual use."""
-
-MIN_LIMIT_FRACTION = 0.05
-"""Minimum limit of a customer as a fraction of the capacity of the cell."""
-
-RATE_FACTOR = 1.05
-"""Rate of a customer above which it ranks last, as a multiple of its usual rate."""
-
 
 class _ReplayFleet(Fleet):
     """Fleet whose tasks take the drawn run times."""
@@ -110,25 +100,6 @@
             self._run_round()
 
 
-@dataclass(slots=True)
-class _CustomerState:
-    """Part of the usual load, and what faults have changed."""
-
-    share: float
-    terms: Customer
-    rate_factor: float = 1.0
-    limit_factor: float = 1.0
-
-    def customer(self) -> Customer:
-        limit, factor = self.terms.limit, self.limit_factor
-        if factor == 1.0:
-            return self.terms
-        lowered = Resources(
-            max(1, int(limit.cores * factor)), max(1, int(limit.memory_mib * factor))
-        )
-        return replace(self.terms, limit=lowered)
-
-
 class HolderReplay:
     """One replay; call ``run`` once.
 
@@ -149,7 +120,7 @@
         self.rate_factor_by_queue: dict[str, float] = {}
         self.failing_fraction_by_queue: dict[str, float] = {}
         self.cancelled_fraction = 0.0
-        self.customers_by_name = _customers(load)
+        self.customers_by_name = usual_customers(load)
         self.lost_runs_until_by_job: dict[str, float] = {}
         self.table = JobTable()
         self.session: _Session | None = None
@@ -377,28 +348,3 @@
 
     def _write_job(self, record: Record) -> None:
         self._store.put(Topic.JOBS, record.key, record.value)
-
-
-def _customers(load: Load) -> dict[str, _CustomerState]:
-    """Return customers of unequal size, with limits and rates above their usual use."""
-    sizes = [1 / (number + 1.5) for number in range(load.customers)]
-    jobs_per_s = sum(kind.jobs_per_s for kind in load.classes)
-    cores, memory_mib = 0.0, 0.0
-    for kind in load.classes:
-        task_s = kind.jobs_per_s * kind.steps[0] * kind.tasks[0] * kind.run_s[0]
-        cores += task_s * kind.cores[0]
-        memory_mib += task_s * kind.memory_mib[0]
-    least = load.workers * MIN_LIMIT_FRACTION
-    states = {}
-    for number, size in enumerate(sizes):
-        share = size / sum(sizes)
-        limit = Resources(
-            int(max(LIMIT_FACTOR * share * cores, least * load.capacity.cores)),
-            int(
-                max(LIMIT_FACTOR * share * memory_mib, least * load.capacity.memory_mib)
-            ),
-        )
-        name = f"c{number}"
-        weight = RATE_FACTOR * share * jobs_per_s
-        states[name] = _CustomerState(share, Customer(name, (), weight, limit))
-    return states
--- a/tools/emulator/cell/idle.py
+++ b/tools/emulator/cell/idle.py
@@ -31,8 +31,9 @@
 SPARE_FACTOR = 2
 """Multiple of a task, or of all tasks of a gang, that idle workers must have room for."""
 
-RECOVERY_S = 2.0
-"""Time after an outage of the holder or of advice in which nothing can be started."""
+RECOVERY_S = 2.5
+"""Time after an outage of the holder, of advice or of a worker in which what was under way
+is settled: a stop order is repeated, and a poll that began before it may take a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +94,7 @@
         self._since_by_step: dict[StepId, float] = {}
         self._violations_by_step: dict[StepId, Violation] = {}
         self._impaired_at = float("-inf")
+        self._unsound_at_by_worker: dict[str, float] = {}
         self._approved_by_step: dict[StepId, list[str]] = {}
 
     @property
@@ -138,8 +140,12 @@
                 pool.running_jobs.add(run.task.job_id)
                 tasks[run.task.step_id] = tasks.get(run.task.step_id, 0) + 1
             used, total = used + in_use, total + worker.entry.capacity
-            if _is_sound(worker):
-                worker_id = worker.entry.worker_id
+            worker_id = worker.entry.worker_id
+            if not _is_sound(worker):
+                self._unsound_at_by_worker[worker_id] = (
+                    asyncio.get_running_loop().time()
+                )
+            else:
                 pool.free_by_worker[worker_id] = worker.entry.capacity - in_use
                 pool.tasks_by_worker[worker_id] = tasks
         pool.used_fraction = used.dominant_fraction(total)
@@ -167,7 +173,7 @@
         if step_id.job_id in pool.running_jobs:
             return False
         lapses_at = self._replay.lost_runs_until_by_job.get(step_id.job_id, 0.0)
-        if asyncio.get_running_loop().time() < lapses_at:
+        if asyncio.get_running_loop().time() < lapses_at or self._is_unsettled(step_id):
             return False
         step = spec.steps[step_id.step]
         count = step.count if step.gang else 1
@@ -184,6 +190,24 @@
                 return True
         return False
 
+    def _is_unsettled(self, step_id: StepId) -> bool:
+        """Return whether all tasks have orders that unsound workers may carry out yet.
+
+        They must not run twice, so they wait for the workers or for their leases.
+        """
+        session, now = self._replay.session, asyncio.get_running_loop().time()
+        assert session is not None
+        job = session.ledger.jobs_by_id.get(step_id.job_id)
+        step = job.steps_by_id[step_id] if job is not None else None
+        if step is None or step.startable:
+            return False
+        never = float("-inf")
+        return any(
+            now - self._unsound_at_by_worker.get(run.worker.worker_id, never)
+            <= RECOVERY_S
+            for run in step.runs()
+        )
+
     def _approved(self, step_id: StepId) -> list[str]:
         approved = self._approved_by_step.get(step_id)
         if approved is None:
