--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -188,20 +188,11 @@
         ready = [w for w in approved if need.fits_in(w.free())]
         if advised:
             ready = [w for w in ready if round_.ticket_is_fresh(step, w)]
-        less_urgent = round_.is_less_urgent(step)
-        sound = [w for w in ready if w not in round_.quarantined]
-        if less_urgent and round_.reserved:
-            sound = [w for w in sound if w.worker_id not in round_.reserved]
-        chosen = self._choose_workers(step, sound, round_, headroom=less_urgent)
-        if not chosen and not yields:
-            chosen = self._choose_workers(step, sound, round_, headroom=False)
-        if not chosen and len(sound) < len(ready) and _may_try_quarantined(step):
-            unreserved = [w for w in ready if w.worker_id not in round_.reserved]
-            chosen = self._choose_workers(step, unreserved, round_, headroom=False)
+        chosen = self._choose_among(step, ready, round_, yields=yields)
         if chosen:
             round_.largest_is_exact = False
             step.blocked_since = step.wait = None
-            if not less_urgent:
+            if not round_.is_less_urgent(step):
                 self._headroom.note_task(step.spec.need)
             if step.spec.gang:
                 runs = self._ledger.place_gang(step, [worker for _, worker in chosen])
@@ -209,11 +200,30 @@
                 runs = [self._ledger.place(step, index, w) for index, w in chosen]
             plan.placements.append(Placement(step, tuple(runs)))
         else:
-            self._mark_blocked(step, approved, less_urgent, round_)
+            self._mark_blocked(step, approved, round_)
             self._note_wait(step, approved, round_)
         if advised and step.startable:
             self._renew_tickets(step, step_rank, approved, round_, plan)
 
+    def _choose_among(
+        self, step: Step, ready: list[Worker], round_: PlanningRound, *, yields: bool
+    ) -> list[tuple[int, Worker]]:
+        """Return workers for the step, among those with capacity and a valid ticket.
+
+        A step that no longer yields takes the headroom, and then workers in quarantine.
+        """
+        less_urgent = round_.is_less_urgent(step)
+        sound = [worker for worker in ready if worker not in round_.quarantined]
+        if less_urgent and round_.reserved:
+            sound = [w for w in sound if w.worker_id not in round_.reserved]
+        chosen = self._choose_workers(step, sound, round_, headroom=less_urgent)
+        if not chosen and not yields:
+            chosen = self._choose_workers(step, sound, round_, headroom=False)
+        if not chosen and len(sound) < len(ready) and _may_try_quarantined(step):
+            unreserved = [w for w in ready if w.worker_id not in round_.reserved]
+            chosen = self._choose_workers(step, unreserved, round_, headroom=False)
+        return chosen
+
     def _yields(self, step: Step, round_: PlanningRound) -> bool:
         """Return whether the step leaves free capacity to others.
 
@@ -355,11 +365,7 @@
         )
 
     def _mark_blocked(
-        self,
-        step: Step,
-        approved: list[Worker],
-        less_urgent: bool,
-        round_: PlanningRound,
+        self, step: Step, approved: list[Worker], round_: PlanningRound
     ) -> None:
         """Record that the step has no placement; reserve workers for the first gangs."""
         round_.blocked += 1
@@ -371,6 +377,7 @@
             return
         waited_s = round_.now - step.blocked_since
         may_reserve = waited_s <= MAX_RESERVATION_S
+        less_urgent = round_.is_less_urgent(step)
         if less_urgent and may_reserve and round_.reserving < MAX_RESERVING_GANGS:
             round_.reserving += 1
             reserved = self._workers_to_reserve(step, approved, round_)
--- a/packages/cell/src/briarrun_cell/registry.py
+++ b/packages/cell/src/briarrun_cell/registry.py
@@ -32,8 +32,9 @@
     """Registered workers.
 
     A worker whose newest entry cannot be read stays with its last readable entry, but
-    suspended: its runs keep their leases and it gets no new ones. Removed entries are kept for ``retention_s``, since the runs of these workers may
-    continue until their leases expire.
+    suspended: its runs keep their leases and it gets no new ones. Removed entries are
+    kept for ``retention_s``, since the runs of these workers may continue until their
+    leases expire.
     """
 
     def __init__(self, decoder: EntryDecoder, clock: Clock, retention_s: float) -> None:
