--- a/packages/cli/src/briarrun_cli/operations.py
+++ b/packages/cli/src/briarrun_cli/operations.py
@@ -5,10 +5,9 @@
 from typing import Any
 from urllib.parse import quote
 
-import msgspec
-
 from briarrun_cli.entry_vm import decode_response, open_entry_vm
 from briarrun_cli.exits import CommandError, ExitStatus
+from briarrun_wire.decode import DecodeError
 from briarrun_wire.http_types import HttpResponse
 
 
@@ -34,7 +33,7 @@
         return None
     try:
         data = response.json()
-    except msgspec.DecodeError:
+    except DecodeError:
         return None
     address = data.get("operations") if isinstance(data, dict) else None
     return address if isinstance(address, str) else None
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -10,8 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
-
+from briarrun_wire.decode import DecodeError
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_types import OUTCOME_HEADER, HttpResponse
 
@@ -163,6 +162,6 @@
 def _json(response: HttpResponse) -> dict[str, Any] | None:
     try:
         decoded = response.json()
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DecodeError:
         return None
     return decoded if isinstance(decoded, dict) else None
