Ask for advice and find approved workers in one place each

Two places of the planner added a request and set the same two flags, and the planner and the reasons of waits each picked the approved workers. A step that yields has no worker in quarantine among its candidates, so they are not compared for it in every round.

--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/planner.py
@@ -22,7 +22,7 @@
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.planning_round import TICKET_MARGIN_S, PlanningRound
+from briarrun_cell.planning_round import TICKET_MARGIN_S, PlanningRound, approved_for
 from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.turns import MAX_BLOCKED_STEPS, next_in_turn
@@ -76,6 +76,13 @@
     placements: list[Placement] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
 
+    def request_advice(
+        self, step: Step, workers: tuple[Worker, ...], step_rank: Rank
+    ) -> None:
+        """Add a request about some workers; the step makes no other until it ends."""
+        self.advice_requests.append(AdviceRequest(step, workers, step_rank))
+        step.advice.request_in_flight = step.advice.requested = True
+
 
 class Planner:
     """Places waiting steps in the order of their rank.
@@ -175,15 +182,12 @@
         if not yields:
             pool = pool + round_.quarantined_of(step)
         advised = step.job.queue.advice is not None
-        approved = pool
         if advised:
             self._request_advice(step, step_rank, pool, round_, plan)
             if not step.advice.answered:
                 step.note_wait(WaitReason.ADVICE, round_.now)
                 return
-            approved = [
-                w for w in pool if w.incarnation_id in step.advice.tickets_by_worker
-            ]
+        approved = approved_for(step, pool)
         need = resources_per_task(step)
         ready = [w for w in approved if need.fits_in(w.free())]
         if advised:
@@ -213,7 +217,9 @@
         A step that no longer yields takes the headroom, and then workers in quarantine.
         """
         less_urgent = round_.is_less_urgent(step)
-        sound = [worker for worker in ready if worker not in round_.quarantined]
+        sound = ready
+        if not yields:
+            sound = [worker for worker in ready if worker not in round_.quarantined]
         if less_urgent and round_.reserved:
             sound = [w for w in sound if w.worker_id not in round_.reserved]
         chosen = self._choose_workers(step, sound, round_, headroom=less_urgent)
@@ -271,8 +277,7 @@
             unqueried = _unqueried(step, round_.quarantined_of(step))
         if unqueried:
             candidates = choose_candidates(step, unqueried, self.rates)
-            plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
-            advice.request_in_flight = advice.requested = True
+            plan.request_advice(step, candidates, step_rank)
 
     def _renew_tickets(
         self,
@@ -309,8 +314,7 @@
             return
         by_room = sorted(approved, key=lambda w: -task_capacity(step, w.free()))
         candidates = tuple(by_room[:MAX_WORKERS])
-        plan.advice_requests.append(AdviceRequest(step, candidates, step_rank))
-        advice.request_in_flight = advice.requested = True
+        plan.request_advice(step, candidates, step_rank)
 
     def _keeps_tickets_fresh(self, step: Step, round_: PlanningRound) -> bool:
         """Return whether the tickets of the step are to be renewed in advance."""
--- a/packages/cell/src/briarrun_cell/planning_round.py
+++ b/packages/cell/src/briarrun_cell/planning_round.py
@@ -116,3 +116,11 @@
         for worker in workers
         if worker.entry.pool == pool and (not label or label in worker.entry.labels)
     ]
+
+
+def approved_for(step: Step, workers: list[Worker]) -> list[Worker]:
+    """Return the workers approved for the step, all of them if it needs no advice."""
+    if step.job.queue.advice is None:
+        return workers
+    tickets = step.advice.tickets_by_worker
+    return [worker for worker in workers if worker.incarnation_id in tickets]
--- a/packages/cell/src/briarrun_cell/wait_reasons.py
+++ b/packages/cell/src/briarrun_cell/wait_reasons.py
@@ -6,7 +6,7 @@
 
 from briarrun_cell.fitting import tasks_fit
 from briarrun_cell.jobs import Step
-from briarrun_cell.planning_round import PlanningRound, in_pool
+from briarrun_cell.planning_round import PlanningRound, approved_for, in_pool
 from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import Worker
 
@@ -45,7 +45,7 @@
     step: Step, count: int, approved: list[Worker], round_: PlanningRound
 ) -> WaitReason:
     """Return why the approved workers have too little free capacity."""
-    quarantined = _approved(step, round_.quarantined_of(step))
+    quarantined = approved_for(step, round_.quarantined_of(step))
     free = [worker.free() for worker in {*approved, *quarantined}]
     if tasks_fit(step, count, free):
         return WaitReason.QUARANTINE
@@ -60,17 +60,9 @@
         reachable = [*round_.pool_of(step), *round_.quarantined_of(step)]
         if any(w.incarnation_id not in step.advice.queried for w in reachable):
             return WaitReason.ADVICE
-    pool = _approved(step, in_pool(step, known))
+    pool = approved_for(step, in_pool(step, known))
     if not pool and step.job.queue.advice is not None:
         return WaitReason.NOT_APPROVED
     if tasks_fit(step, count, (w.entry.capacity for w in pool)):
         return WaitReason.WORKERS
     return WaitReason.SIZE
-
-
-def _approved(step: Step, workers: list[Worker]) -> list[Worker]:
-    """Return the workers approved for the step, all of them if it needs no advice."""
-    if step.job.queue.advice is None:
-        return workers
-    tickets = step.advice.tickets_by_worker
-    return [worker for worker in workers if worker.incarnation_id in tickets]
