Let the test of tickets between turns run at both distances of rounds

Since turns come within 20 rounds the test passed without its guard: at 0.05 s a round the tickets lasted from one turn to the next. At 0.1 s, the longest distance, it is red without the guard and green with it. The name of the test had been garbled by a rename, too.

--- a/tests/cell/rounds.py
+++ b/tests/cell/rounds.py
@@ -45,7 +45,13 @@
 class Rounds:
     """Rounds of a planner in a cell whose advice calls take 0.1 s and whose runs end."""
 
-    def __init__(self, ledger: Ledger, approved: dict[str, list[str]]) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        approved: dict[str, list[str]],
+        round_s: float = ROUND_S,
+    ) -> None:
+        self._round_s = round_s
         self.ledger = ledger
         self.planner = Planner(ledger)
         self.placed: dict[str, float] = {}
@@ -55,7 +61,7 @@
     def run_one(self) -> None:
         ledger = self.ledger
         assert isinstance(ledger.clock, ManualClock)
-        ledger.clock.time += ROUND_S
+        ledger.clock.time += self._round_s
         now = ledger.clock.now()
         for worker in ledger.workers_by_id.values():
             worker.contact_at = now
--- a/tests/cell/test_long_waits.py
+++ b/tests/cell/test_long_waits.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+import pytest
+
 from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
@@ -32,7 +34,8 @@
 )
 
 
-def test_tickets_do_not_expire_between_the_turns_of_astep_of() -> None:
+@pytest.mark.parametrize("round_s", [ROUND_S, 2 * ROUND_S])
+def test_tickets_do_not_expire_between_the_turns_of_a_step(round_s: float) -> None:
     """Guards against a step that is asked about in one turn and too late in the next.
 
     Every other step is approved for two full workers only; eighteen are idle.
@@ -41,14 +44,14 @@
     full = StepSpec(count=2, need=WHOLE, estimated_ms=1000)
     job(ledger, "full", full, queue=make_queue(0, advised=True))
     approve(ledger, step_of(ledger, "full"), ["w0", "w1"], 1e9)
-    rounds = Rounds(ledger, {"zz": ["w5", "w6", "w7"]})
+    rounds = Rounds(ledger, {"zz": ["w5", "w6", "w7"]}, round_s)
     rounds.run_one()
     assert "full" in rounds.placed
     for number in range(1600):
         spec = job(ledger, f"b{number:04}", queue=make_queue(1, advised=True))
         approve(ledger, step_of(ledger, spec.job_id), ["w0", "w1"], 1e9)
     job(ledger, "zz", queue=make_queue(2, advised=True))
-    for _ in range(round(20.0 / ROUND_S)):
+    for _ in range(round(20.0 / round_s)):
         rounds.run_one()
     assert "zz" in rounds.placed
 
