Call the number that fences orders a token: it need not be the epoch

Orders and polls carried the epoch of the holder's term under that name. A holder that opens a new conversation with a worker will need a higher number within its term. No change of behaviour.

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -116,7 +116,7 @@
                 run=run.number,
                 payload=step.job.spec.payload,
                 lease_until_ms=until_ms,
-                epoch=self._ledger.epoch,
+                token=self._ledger.epoch,
                 checkpoint=run.checkpoint,
                 ticket=ticket.value if ticket is not None else "",
             ),
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -140,13 +140,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Order to start a run; ``lease_until_ms`` is a time on the worker's clock."""
+    """Order to start a run.
+
+    ``lease_until_ms`` is a time on the worker's clock. A worker refuses orders and polls
+    whose ``token`` is lower than one that it has seen.
+    """
 
     task: TaskId
     run: int
     payload: str
     lease_until_ms: int
-    epoch: int
+    token: int
     checkpoint: str = ""
     ticket: str = ""
 
@@ -177,7 +181,7 @@
 
     @abstractmethod
     async def stop(
-        self, worker: WorkerEntry, task: TaskId, run: int, epoch: int, timeout_s: float
+        self, worker: WorkerEntry, task: TaskId, run: int, token: int, timeout_s: float
     ) -> WorkerAnswer:
         """Stop a run, and keep it from being started by a delayed order."""
 
@@ -185,7 +189,7 @@
     async def poll(
         self,
         worker: WorkerEntry,
-        epoch: int,
+        token: int,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
--- a/tests/soak/http_workers.py
+++ b/tests/soak/http_workers.py
@@ -82,7 +82,7 @@
             run=body["run"],
             payload=body["specification"],
             lease_until_ms=body["untilMs"],
-            epoch=body["fencingToken"],
+            token=body["fencingToken"],
             checkpoint=body.get("checkpoint", ""),
             ticket=body.get("ticket", ""),
         )
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -83,18 +83,18 @@
         return answer
 
     async def stop(
-        self, worker: WorkerEntry, task: TaskId, run: int, epoch: int, timeout_s: float
+        self, worker: WorkerEntry, task: TaskId, run: int, token: int, timeout_s: float
     ) -> WorkerAnswer:
         """Stop a run."""
         await self._vm.store.running.wait()
-        answer = await self._fleet.stop(worker, task, run, epoch, timeout_s)
+        answer = await self._fleet.stop(worker, task, run, token, timeout_s)
         await self._vm.store.running.wait()
         return answer
 
     async def poll(
         self,
         worker: WorkerEntry,
-        epoch: int,
+        token: int,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
@@ -103,7 +103,7 @@
         """Return the inventory."""
         await self._vm.store.running.wait()
         answer = await self._fleet.poll(
-            worker, epoch, acknowledged, lease_until_ms, wait_s, timeout_s
+            worker, token, acknowledged, lease_until_ms, wait_s, timeout_s
         )
         await self._vm.store.running.wait()
         return answer
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -142,7 +142,7 @@
         return WorkerAnswer(self._start(found, order))
 
     async def stop(
-        self, worker: WorkerEntry, task: TaskId, run: int, epoch: int, timeout_s: float
+        self, worker: WorkerEntry, task: TaskId, run: int, token: int, timeout_s: float
     ) -> WorkerAnswer:
         """Stop a run."""
         self.stops += 1
@@ -150,15 +150,15 @@
         if isinstance(found, WorkerAnswer):
             return found
         if self.rng.random() < found.faults.late_orders:
-            self._later(found, self._stop, found, task, run, epoch)
+            self._later(found, self._stop, found, task, run, token)
             await asyncio.sleep(timeout_s)
             return WorkerAnswer(OrderOutcome.UNKNOWN)
-        return WorkerAnswer(self._stop(found, task, run, epoch))
+        return WorkerAnswer(self._stop(found, task, run, token))
 
     async def poll(
         self,
         worker: WorkerEntry,
-        epoch: int,
+        token: int,
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
@@ -169,9 +169,9 @@
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
-        if epoch < found.token:
+        if token < found.token:
             return WorkerAnswer(OrderOutcome.FENCED)
-        found.token = epoch
+        found.token = token
         self._acknowledge(found, acknowledged)
         if lease_until_ms is not None:
             self._extend(found, lease_until_ms)
@@ -244,9 +244,9 @@
     def _start(self, worker: FakeWorker, order: StartOrder) -> OrderOutcome:
         if worker.dead or worker.faults.cut:
             return OrderOutcome.UNREACHABLE
-        if order.epoch < worker.token:
+        if order.token < worker.token:
             return OrderOutcome.FENCED
-        worker.token = order.epoch
+        worker.token = order.token
         if order.lease_until_ms <= self._clock_ms(worker):
             return OrderOutcome.EXPIRED
         key = (order.task, order.run)
@@ -335,13 +335,13 @@
         self._end(worker, run, EndKind.FAILED if failed else EndKind.DONE)
 
     def _stop(
-        self, worker: FakeWorker, task: TaskId, number: int, epoch: int
+        self, worker: FakeWorker, task: TaskId, number: int, token: int
     ) -> OrderOutcome:
         if worker.dead or worker.faults.cut:
             return OrderOutcome.UNREACHABLE
-        if epoch < worker.token:
+        if token < worker.token:
             return OrderOutcome.FENCED
-        worker.token = epoch
+        worker.token = token
         highest = worker.highest_by_task.get(task, 0)
         worker.highest_by_task[task] = max(highest, number)
         run = worker.runs_by_id.get((task, number))
