Log why runs are given up, which ends are acknowledged, and ends that are missing

Each has a line now, with the life of the worker (id@born), and two counters: briarrun_requeued_runs_total by reason, briarrun_end_gaps_total.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -302,7 +302,7 @@
         deps, ledger = self._deps, self.ledger
         if deps.config.config.version != ledger.config.version:
             ledger.set_config(deps.config.config)
-        self._log_ended_runs()
+        self._report_runs()
         ledger.expire()
         if deps.clock.now() >= self._next_review_at:
             self._next_review_at = deps.clock.now() + REVIEW_INTERVAL_S
@@ -315,8 +315,14 @@
         self._execute(plan)
         self._journal.notify_progress()
 
-    def _log_ended_runs(self) -> None:
-        """Log the runs that ended since the last round, in one line."""
+    def _report_runs(self) -> None:
+        """Log the runs that ended since the last round, in one line; count the others."""
+        for reason in self.ledger.given_up:
+            self._deps.metrics.requeued_runs.labels(reason).inc()
+        self.ledger.given_up.clear()
+        if self.ledger.end_gaps:
+            self._deps.metrics.end_gaps.inc(self.ledger.end_gaps)
+            self.ledger.end_gaps = 0
         ended, self.ledger.ended = self.ledger.ended, []
         if ended:
             _LOG.info(
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -132,7 +132,14 @@
     def _end_pass(self, ended: _Pass) -> None:
         """Acknowledge the ends, and wake those who waited for the progress."""
         for worker, number in ended.acknowledging:
-            worker.acknowledged = max(worker.acknowledged, number)
+            if number > worker.acknowledged:
+                _LOG.info(
+                    "acknowledging ends",
+                    worker=worker.incarnation_id,
+                    after=worker.acknowledged,
+                    to=number,
+                )
+                worker.acknowledged = number
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
         for waiter in ended.waiters:
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -19,7 +19,7 @@
 )
 from briarrun_cell.ranking import RateMeter
 from briarrun_cell.run_times import RunTimeRatios
-from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
 from briarrun_core.resources import NOTHING, Resources
 
 RUN_BITS = 20
@@ -51,7 +51,9 @@
     """State of the cell during one term of the holder.
 
     ``stops`` collects the runs to be stopped, ``ended`` the reported ends of runs with
-    their workers, and ``dirty`` the ids of jobs whose progress must be stored.
+    their workers, ``given_up`` the reasons for which runs were given up, ``end_gaps`` the
+    number of ends that workers forgot unread, and ``dirty`` the ids of jobs whose
+    progress must be stored.
     """
 
     def __init__(
@@ -72,6 +74,8 @@
         self.usage_by_customer: dict[str, Resources] = {}
         self.stops: list[Run] = []
         self.ended: list[tuple[str, EndReport]] = []
+        self.given_up: list[GiveUpReason] = []
+        self.end_gaps = 0
         self.dirty: set[str] = set()
         self.began_at = clock.now()
         self.run_time_ratios = RunTimeRatios()
@@ -150,8 +154,7 @@
             runs=len(worker.runs_by_id),
         )
         for run in list(worker.runs_by_id.values()):
-            self.drop_run(run)
-            self.requeue(run.task, run.checkpoint)
+            self.give_up(run, GiveUpReason.WORKER_ENDED)
         self.mark_inventory_known(worker)
         self.forget_worker(worker)
 
@@ -163,15 +166,7 @@
                 worker.runs_by_id or not worker.inventory_known
             ):
                 for run in list(worker.runs_by_id.values()):
-                    _LOG.warning(
-                        "lease of a run expired without contact to its worker",
-                        job=run.task.job_id,
-                        task=run.task,
-                        run=run.number,
-                        worker=worker.worker_id,
-                    )
-                    self.drop_run(run)
-                    self.requeue(run.task, run.checkpoint)
+                    self.give_up(run, GiveUpReason.LEASE_EXPIRED)
                 self.mark_inventory_known(worker)
             if (
                 not worker.registered
@@ -393,8 +388,30 @@
 
     def withdraw(self, run: Run) -> None:
         """Remove a run that has certainly not been started, and requeue its task."""
+        if run.state is RunState.PLANNED:
+            self.drop_run(run)
+            self.requeue(run.task, "")
+        else:
+            self.give_up(run, GiveUpReason.NOT_STARTED)
+
+    def give_up(self, run: Run, reason: GiveUpReason) -> None:
+        """Remove a run of which no end will be reported, and requeue its task."""
+        if (run.task, run.number) not in run.worker.runs_by_id:
+            return
+        _LOG.info(
+            "gave a run up",
+            job=run.task.job_id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker.incarnation_id,
+            reason=reason,
+            state=run.state,
+            unanswered_starts=run.unanswered_starts,
+            ends_read=run.worker.applied,
+        )
+        self.given_up.append(reason)
         self.drop_run(run)
-        self.requeue(run.task, "")
+        self.requeue(run.task, run.checkpoint)
 
     def stop(self, run: Run, reason: str) -> None:
         """Schedule a run to be stopped; it keeps its resources until its end is known."""
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -64,6 +64,17 @@
             registry=registry,
         )
         self.set_waits({}, {})
+        self.requeued_runs = Counter(
+            "briarrun_requeued_runs",
+            "Runs given up without a report of their end, by reason; on the holder.",
+            ("reason",),
+            registry=registry,
+        )
+        self.end_gaps = Counter(
+            "briarrun_end_gaps",
+            "Ends of runs that workers forgot before they were read; on the holder.",
+            registry=registry,
+        )
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -12,7 +12,7 @@
     JobState,
     RunReport,
 )
-from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
 from briarrun_core.resources import NOTHING
 
 MAX_MISSING_POLLS = 2
@@ -37,6 +37,8 @@
         worker.contact_at = now
         worker.clock_ms, worker.clock_at = inventory.clock_ms, now
         has_new_ends = False
+        if worker.inventory_known:
+            self._count_gap(worker, inventory)
         for end in inventory.ended:
             if end.number > worker.applied:
                 self._on_end(worker, end)
@@ -56,6 +58,18 @@
         self._ledger.mark_inventory_known(worker)
         return has_new_ends
 
+    def _count_gap(self, worker: Worker, inventory: Inventory) -> None:
+        """Count the ends that the worker forgot although they were not read."""
+        new = [end.number for end in inventory.ended if end.number > worker.applied]
+        if new and min(new) > worker.applied + 1:
+            _LOG.error(
+                "worker forgot ends that were not read",
+                worker=worker.incarnation_id,
+                after=worker.applied,
+                first=min(new),
+            )
+            self._ledger.end_gaps += min(new) - worker.applied - 1
+
     def _update_run(self, run: Run, report: RunReport, now: float) -> None:
         run.missing_polls = 0
         if run.state is RunState.STARTING:
@@ -123,14 +137,13 @@
             return
         if run.state is RunState.STARTING:
             if inventory.clock_ms > run.order_until_ms > 0:
-                self._ledger.withdraw(run)
+                self._ledger.give_up(run, GiveUpReason.ORDER_EXPIRED)
             return
         if run.answered_at is None or sent_at < run.answered_at:
             return
         run.missing_polls += 1
         if run.missing_polls >= MAX_MISSING_POLLS or run.state is RunState.STOPPING:
-            self._ledger.drop_run(run)
-            self._ledger.requeue(run.task, run.checkpoint)
+            self._ledger.give_up(run, GiveUpReason.NOT_LISTED)
 
     def _on_end(self, worker: Worker, end: EndReport) -> None:
         now = self._ledger.clock.now()
@@ -141,6 +154,20 @@
         step = self._ledger.step_of(end.task)
         if step is None or not 0 <= end.task.ordinal < step.spec.count:
             return
+        if run is None and end.kind in (EndKind.DONE, EndKind.FAILED):
+            _LOG.warning(
+                "run ended that was not in the ledger",
+                job=end.task.job_id,
+                task=end.task,
+                run=end.run,
+                worker=worker.incarnation_id,
+                how=end.kind,
+                end=end.number,
+                other_runs=[
+                    (other.number, other.worker.worker_id)
+                    for other in step.active.get(end.task.ordinal, [])
+                ],
+            )
         self._update_health(worker, step, run, end.kind, now)
         if end.kind is EndKind.DONE and not step.spec.service:
             self._on_done(step, end)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -51,6 +51,16 @@
     OVER = "over"
 
 
+class GiveUpReason(StrEnum):
+    """Why a run was removed without a report of its end, and its task queued again."""
+
+    NOT_STARTED = "not started"
+    ORDER_EXPIRED = "order expired"
+    NOT_LISTED = "not listed"
+    LEASE_EXPIRED = "lease expired"
+    WORKER_ENDED = "worker ended"
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """Run of a task on a worker; times are in seconds on the holder's clock.
