Take a superseded start order for an end that is yet to be read

Callers saw a task run again after it had ended (TWICE), and tasks run more often than they may (BUDGET).

Cause: the worker refuses a start order as superseded once the run, or a later one of its task, was stopped or has ended there. The holder took that for a proof that nothing had run, even after orders without an answer, withdrew the run and planned its task again, beside the end that the worker still listed. That end was read later and acknowledged.

Why this works: the run stays charged, and its task is not planned, until an inventory that was requested after the refusal. It lists the end, which counts, or it does not, and then the run never started: a worker starts no run that is superseded.

--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -424,6 +424,16 @@
             run.answered_at = None
             self.stops.append(run)
 
+    def await_inventory(self, run: Run, reason: str) -> None:
+        """Keep a run that can no longer start until the next inventory lists its end.
+
+        If that inventory does not, the run never started.
+        """
+        if run.state is RunState.STARTING:
+            run.state = RunState.STOPPING
+            run.stop_reason = reason
+            run.answered_at = run.since = self.clock.now()
+
     def on_started(self, run: Run) -> None:
         """Record that a worker confirmed a start."""
         now = self.clock.now()
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -150,7 +150,10 @@
             return
         if outcome is OrderOutcome.WRONG_INCARNATION:
             self._ledger.on_worker_dead(run.worker, "another life answered")
-        elif run.unanswered_starts and outcome is not OrderOutcome.SUPERSEDED:
+        elif outcome is OrderOutcome.SUPERSEDED:
+            # The run may have started, and its worker may still list its end.
+            self._ledger.await_inventory(run, "its worker has ended it before")
+        elif run.unanswered_starts:
             # An earlier order that was not answered may still be carried out.
             self._ledger.stop(run, "an earlier start order is unsettled")
         else:
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -122,7 +122,8 @@
     """Outcome of an order to a worker.
 
     After ``UNKNOWN`` the order may still take effect. After any other failure it has
-    certainly not been carried out.
+    certainly not been carried out, but an earlier order of the same run may have been.
+    After ``SUPERSEDED`` this run, or a later one of its task, has ended on the worker.
     """
 
     DONE = "done"
