Let the requests that wait for a connection end before those that hold one

Five requests with the same timeout of 1 s compete for three connections. The timeout counts from each call, so on a busy machine the first three end before the deadline of the last two, which then are sent in the last moment: allowed, and not what the test is about. The last two now time out after 0.5 s. The check is as strict as before: exactly two are not sent, for want of a connection.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -199,7 +199,10 @@
     assert served.most_open <= 3 + 1  # the server may notice a close late
     silent = ScriptedServer(lambda *_: None)
     address = await silent.start()
-    waiting = [post(pool, address, timeout_s=1.0) for _ in range(5)]
+    # The last two give up before the others make room.
+    waiting = [
+        post(pool, address, timeout_s=each) for each in (1.0, 1.0, 1.0, 0.5, 0.5)
+    ]
     kinds = [result.error for result in await asyncio.gather(*waiting)]
     assert [k.sent for k in kinds].count(False) == 2
     assert {k.kind for k in kinds if not k.sent} == {KIND.CONNECTION_LIMIT}
