Take a worker for gone only if it refuses connections

Callers may see a task run twice at the same time.

Cause: a worker that drains and is cut off cannot renew its entry, which expires. The next poll cannot connect, and that was taken for the end of its process: its runs were given up and their tasks started elsewhere, while the worker ran on under its leases. The same was concluded from a poll that waited in vain for a free connection.

Now only a refused connection, which shows that no process listens, ends a worker that drained and left. Otherwise its runs stay until their leases have expired.

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -162,7 +162,7 @@
                 ticket = step.advice.tickets_by_worker.get(run.worker.incarnation_id)
                 if ticket is not None:
                     ticket.expires_at = 0.0
-            elif outcome is OrderOutcome.UNREACHABLE:
+            elif not outcome.was_sent:
                 run.worker.contact_at = float("-inf")
             elif outcome is OrderOutcome.BUSY:
                 run.worker.health.on_failed(self._clock.now())
@@ -200,10 +200,9 @@
                 self._ledger.on_worker_dead(worker, "another life answered")
                 self._guard.wake()
                 return
-            if answer.outcome not in (
+            if answer.outcome.was_sent and answer.outcome not in (
                 OrderOutcome.UNKNOWN,
                 OrderOutcome.BUSY,
-                OrderOutcome.UNREACHABLE,
             ):
                 run.answered_at = self._clock.now()
                 return
@@ -269,14 +268,14 @@
             wait_s,
             timeout_s,
         )
-        if answer.outcome is not OrderOutcome.UNREACHABLE:
+        if answer.outcome.was_sent:
             worker.lease_end = max(worker.lease_end, worker.requested_lease_end)
         worker.requested_lease_end = float("-inf")
         if answer.outcome is OrderOutcome.FENCED:
             self._guard.on_fenced()
             return False
         left = worker.entry.draining and not worker.registered
-        if left and answer.outcome is OrderOutcome.UNREACHABLE:
+        if left and answer.outcome is OrderOutcome.CONNECTION_REFUSED:
             ledger.on_worker_dead(worker, "it drained and left")
             self._guard.wake()
             return False
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -124,6 +124,8 @@
     After ``UNKNOWN`` the order may still take effect. After any other failure it has
     certainly not been carried out, but an earlier order of the same run may have been.
     After ``SUPERSEDED`` this run, or a later one of its task, has ended on the worker.
+    ``CONNECTION_REFUSED`` means that no process listens at the worker's address, while
+    behind ``UNREACHABLE`` the worker may run on.
     """
 
     DONE = "done"
@@ -136,8 +138,14 @@
     BUSY = "busy"
     WRONG_INCARNATION = "other-life"
     UNREACHABLE = "unreachable"
+    CONNECTION_REFUSED = "connection-refused"
     UNKNOWN = "unknown"
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the worker may have received the order."""
+        return self not in (OrderOutcome.UNREACHABLE, OrderOutcome.CONNECTION_REFUSED)
+
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
--- a/packages/wire/src/briarrun_wire/http_exchange.py
+++ b/packages/wire/src/briarrun_wire/http_exchange.py
@@ -22,9 +22,15 @@
 class ExchangeFailed(Exception):  # noqa: N818 - named after its failure
     """Failed request; ``failure`` describes it."""
 
-    def __init__(self, kind: HttpFailureKind, sent: bool, detail: str) -> None:
+    def __init__(
+        self,
+        kind: HttpFailureKind,
+        sent: bool,
+        detail: str,
+        connection_refused: bool = False,
+    ) -> None:
         super().__init__(detail)
-        self.failure = HttpFailure(kind, sent, detail)
+        self.failure = HttpFailure(kind, sent, detail, connection_refused)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -59,7 +65,8 @@
         except (OSError, ValueError, TimeoutError) as error:
             detail = f"cannot connect to {address}: {error or 'timed out'}"
             kind = HttpFailureKind.CONNECT_FAILED
-            raise ExchangeFailed(kind, False, detail) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ExchangeFailed(kind, False, detail, refused) from error
         return connection
 
     @property
--- a/packages/wire/src/briarrun_wire/http_types.py
+++ b/packages/wire/src/briarrun_wire/http_types.py
@@ -97,8 +97,10 @@
     """Client request without a complete response.
 
     ``sent`` is false if no byte of the request was sent, so that it had no effect.
+    ``connection_refused`` tells that no process listens at the address.
     """
 
     kind: HttpFailureKind
     sent: bool
     detail: str = ""
+    connection_refused: bool = False
--- a/tests/cell/test_unsettled_starts.py
+++ b/tests/cell/test_unsettled_starts.py
@@ -19,7 +19,9 @@
 UNKNOWN = OrderOutcome.UNKNOWN
 
 
-class _Holder(HolderTermGuard):
+class Guard(HolderTermGuard):
+    """Guard of a term that goes on."""
+
     def is_holder(self) -> bool:
         return True
 
@@ -86,7 +88,7 @@
     job(ledger, "j", spec)
     planner = Planner(ledger)
     (placement,) = planner.plan().placements
-    sender = OrderSender(_Scripted(answers), ledger, ledger.clock, _Holder())
+    sender = OrderSender(_Scripted(answers), ledger, ledger.clock, Guard())
     for run in placement.runs:
         await sender.start(run, placement.step)
     return ledger, planner, sender, placement.runs
