--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -235,9 +235,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Inventory:
-    """Inventory reported by a worker; ``clock_ms`` is the time on its clock."""
+    """Inventory reported by a worker; ``clock_ms`` is the time on its clock.
+
+    A worker lists only its oldest ends if it has many. A run that it does not list has
+    certainly not ended only if it ``lists_all_ends``.
+    """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    lists_all_ends: bool = True
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -52,10 +52,11 @@
                 self._adopt(worker, report)
             else:
                 self._update_run(run, report, now)
-        for key, run in list(worker.runs_by_id.items()):
-            if key not in listed:
-                self._check_missing(run, inventory, sent_at)
-        self._ledger.mark_inventory_known(worker)
+        if inventory.lists_all_ends:
+            for key, run in list(worker.runs_by_id.items()):
+                if key not in listed:
+                    self._check_missing(run, inventory, sent_at)
+            self._ledger.mark_inventory_known(worker)
         return has_new_ends
 
     def _count_gap(self, worker: Worker, inventory: Inventory) -> None:
--- a/tests/cell/test_worker_lives.py
+++ b/tests/cell/test_worker_lives.py
@@ -10,9 +10,10 @@
 
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import Ledger
-from briarrun_cell.model import WorkerEntry
+from briarrun_cell.model import Inventory, WorkerEntry
 from briarrun_cell.orders import WorkerPoller
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
+from briarrun_cell.reconciler import MAX_MISSING_POLLS, InventoryReconciler
 from briarrun_cell.workers import Run, RunState
 from tests.cell.test_ledger import entry, job, make_ledger, started
 from tests.cell.test_unsettled_starts import Guard
@@ -73,3 +74,31 @@
         ledger.set_workers([], [])
     await _poll(ledger, run, [WorkerAnswer(outcome)])
     assert (run.state is RunState.OVER) is (left and ended)
+
+
+@pytest.mark.parametrize("lists_all_ends", [False, True])
+@pytest.mark.parametrize("inventories", [1, 2, 5])
+def test_run_whose_end_is_on_a_later_page_is_not_missing(
+    inventories: int, lists_all_ends: bool
+) -> None:
+    """Guards against a second run of a task whose end did not fit into the inventory."""
+    ledger = make_ledger(workers=1)
+    job(ledger, "j")
+    (run,) = started(ledger)
+    reconciler = InventoryReconciler(ledger)
+    for _ in range(inventories):
+        inventory = Inventory(1_000, 1, (), (), lists_all_ends)
+        reconciler.on_inventory(run.worker, inventory, ledger.clock.now())
+    missing = lists_all_ends and inventories >= MAX_MISSING_POLLS
+    assert (run.state is RunState.OVER) is missing
+
+
+def test_worker_is_known_once_it_has_listed_all_ends() -> None:
+    """Guards against a task that a new holder starts beside an end on a later page."""
+    ledger = make_ledger(workers=0)
+    (worker,) = ledger.set_workers([entry("w0")], [])
+    reconciler = InventoryReconciler(ledger)
+    for lists_all_ends in (False, True):
+        inventory = Inventory(1_000, 1, (), (), lists_all_ends)
+        reconciler.on_inventory(worker, inventory, ledger.clock.now())
+        assert worker.inventory_known is lists_all_ends
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -204,6 +204,18 @@
     assert kinds == [(58, EndKind.LEASE_LAPSED), (59, EndKind.GANG_BROKEN)]
 
 
+@pytest.mark.parametrize(("ends", "lists_all"), [(0, True), (499, True), (500, False)])
+def test_full_page_of_ends_may_not_be_the_last(ends: int, lists_all: bool) -> None:
+    """Guards against a run that counts as missing since its end is on the next page."""
+    rows = [
+        [number, f"{JOB_ID}.0.0.{number}", 1, "done", ""]
+        for number in range(1, ends + 1)
+    ]
+    body = {"clockMs": 1, "born": 5, "running": [], "finished": rows}
+    inventory = decode_inventory(json.dumps(body).encode())
+    assert inventory.lists_all_ends is lists_all
+
+
 @pytest.mark.parametrize(
     "body",
     [
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -29,6 +29,7 @@
 GANG_WAIT_S = 3.0
 STOP_S = 0.3
 ORDER_LATENCY_S = 0.002
+MAX_LISTED_ENDS = 500
 
 
 @dataclass
@@ -211,7 +212,8 @@
             self._clock_ms(worker),
             worker.entry.born_ms,
             running,
-            tuple(worker.ended[:500]),
+            tuple(worker.ended[:MAX_LISTED_ENDS]),
+            lists_all_ends=len(worker.ended) < MAX_LISTED_ENDS,
         )
 
     def _percent(self, worker: FakeWorker, run: _Run) -> int:
