Let emulated workers lose answers, act late across lives and start again

A late call reaches the life that listens at its arrival, also a poll. The check of starts after an end follows the rule of the users: an end counts once it is acknowledged, also after the later start, unless a lease lapsed in between. Before, an end counted from its acknowledgement on, also after a lapse; such ends no longer count. Failed ends count against the attempts. A refused start extends the leases, as on real workers.

--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from briarrun_cell.model import (
@@ -25,19 +26,31 @@
     Workers,
 )
 from briarrun_core.resources import NOTHING, Resources
+from tools.emulator.cell.run_history import RunEnd, RunHistory
 
 GANG_WAIT_S = 3.0
 STOP_S = 0.3
 ORDER_LATENCY_S = 0.002
 
+FRESH_CLOCK_S = 0.5
+"""Time on the clock of a process that has just started again."""
+
 
 @dataclass
 class WorkerFaults:
-    """Switch faults of one worker; shares are probabilities."""
+    """Switch faults of one worker; shares are probabilities.
+
+    A lost answer hides a call that is carried out at once. A late call has no answer
+    and is carried out ``late_s`` later, by the life that then listens.
+    """
 
     cut: bool = False
     late_orders: float = 0.0
+    late_polls: float = 0.0
     late_s: float = 3.0
+    lost_starts: float = 0.0
+    lost_stops: float = 0.0
+    lost_polls: float = 0.0
     fails_all: bool = False
     hangs: bool = False
     slow_factor: float = 1.0
@@ -56,15 +69,23 @@
 
 @dataclass(eq=False)
 class FakeWorker:
-    """Hold one life of a worker."""
+    """Hold one life of a worker.
+
+    Once it is ``dead``, its address ``refuses`` connections or does not answer. Calls
+    under way at the end hang until their timeout, unless it ``breaks_calls``.
+    ``lapses`` counts the leases that have lapsed.
+    """
 
     entry: WorkerEntry
     clock_rate: float = 1.0
     clock_start_s: float = 500.0
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     dead: bool = False
+    refuses: bool = False
+    breaks_calls: bool = False
     token: int = 0
     lease_ms: int = 0
+    lapses: int = 0
     runs_by_id: dict[tuple[TaskId, int], _Run] = field(default_factory=dict)
     ended: list[EndReport] = field(default_factory=list)
     highest_by_task: dict[TaskId, int] = field(default_factory=dict)
@@ -72,6 +93,12 @@
     born_at: float = 0.0
     news: asyncio.Event = field(default_factory=asyncio.Event)
     lease_timer: asyncio.TimerHandle | None = None
+    unacknowledged_by_number: dict[int, RunEnd] = field(default_factory=dict)
+
+    @property
+    def life(self) -> str:
+        """Name of this life of the worker."""
+        return f"{self.entry.worker_id}@{self.entry.born_ms}"
 
 
 class Fleet(Workers):
@@ -87,6 +114,7 @@
         self.run_s_by_job: dict[str, float] = {}
         self.limits_by_customer: dict[str, Resources] = {}
         self.violations: list[str] = []
+        self.history = RunHistory(self.report)
         self.done_noted: set[TaskId] = set()
         self.done: set[TaskId] = set()
         self.starts = 0
@@ -98,25 +126,45 @@
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
 
-    def add(self, entry: WorkerEntry, **fields: float) -> FakeWorker:
+    def add(self, entry: WorkerEntry, **fields: object) -> FakeWorker:
         """Start a worker."""
         worker = FakeWorker(entry, born_at=self.now(), **fields)  # type: ignore[arg-type]
         self.workers_by_address[entry.address] = worker
         return worker
 
-    def crash(self, worker: FakeWorker) -> None:
+    def crash(
+        self, worker: FakeWorker, refuses: bool = False, breaks_calls: bool = False
+    ) -> None:
         """End a worker's life; nothing of it runs on."""
+        if worker.dead:
+            return
         worker.dead = True
+        worker.refuses = refuses
+        worker.breaks_calls = breaks_calls
         for run in worker.runs_by_id.values():
             if run.timer is not None:
                 run.timer.cancel()
         worker.runs_by_id.clear()
+        worker.ended.clear()
+        worker.unacknowledged_by_number.clear()
+        worker.news.set()
 
-    def rebirth(self, worker: FakeWorker) -> FakeWorker:
-        """Start the next life of a worker under the same id."""
+    def rebirth(
+        self,
+        worker: FakeWorker,
+        faults: WorkerFaults | None = None,
+        **entry_fields: object,
+    ) -> FakeWorker:
+        """Start the next life of a worker under the same id.
+
+        ``entry_fields`` change its entry, e.g. its address.
+        """
         self.crash(worker)
         born_ms = worker.entry.born_ms + 1
-        return self.add(replace(worker.entry, born_ms=born_ms))
+        entry = replace(worker.entry, born_ms=born_ms, **entry_fields)  # type: ignore[arg-type]
+        return self.add(
+            entry, clock_start_s=FRESH_CLOCK_S, faults=faults or WorkerFaults()
+        )
 
     def report(self, text: str) -> None:
         """Note a broken promise."""
@@ -132,28 +180,42 @@
         self, worker: WorkerEntry, order: StartOrder, timeout_s: float
     ) -> WorkerAnswer:
         """Start a run."""
-        found = await self._reach(worker, timeout_s)
-        if isinstance(found, WorkerAnswer):
-            return found
-        if self.rng.random() < found.faults.late_orders:
-            self._later(found, self._start, found, order)
-            await asyncio.sleep(timeout_s)
-            return WorkerAnswer(OrderOutcome.UNKNOWN)
-        return WorkerAnswer(self._start(found, order))
+        return await self._order(
+            worker,
+            lambda found: self._start(found, order),
+            lambda faults: faults.lost_starts,
+            timeout_s,
+        )
 
     async def stop(
         self, worker: WorkerEntry, task: TaskId, run: int, epoch: int, timeout_s: float
     ) -> WorkerAnswer:
         """Stop a run."""
         self.stops += 1
+        return await self._order(
+            worker,
+            lambda found: self._stop(found, task, run, epoch),
+            lambda faults: faults.lost_stops,
+            timeout_s,
+        )
+
+    async def _order(
+        self,
+        worker: WorkerEntry,
+        call: Callable[[FakeWorker], OrderOutcome],
+        lost: Callable[[WorkerFaults], float],
+        timeout_s: float,
+    ) -> WorkerAnswer:
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
         if self.rng.random() < found.faults.late_orders:
-            self._later(found, self._stop, found, task, run, epoch)
+            return await self._carry_out_late(found, call, timeout_s)
+        outcome = call(found)
+        if self._happens(lost(found.faults)):
             await asyncio.sleep(timeout_s)
             return WorkerAnswer(OrderOutcome.UNKNOWN)
-        return WorkerAnswer(self._stop(found, task, run, epoch))
+        return WorkerAnswer(outcome)
 
     async def poll(
         self,
@@ -169,12 +231,16 @@
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
-        if epoch < found.token:
-            return WorkerAnswer(OrderOutcome.FENCED)
-        found.token = epoch
-        self._acknowledge(found, acknowledged)
-        if lease_until_ms is not None:
-            self._extend(found, lease_until_ms)
+        ends_at = self.now() + timeout_s
+
+        def call(life: FakeWorker) -> OrderOutcome:
+            return self._poll(life, epoch, acknowledged, lease_until_ms)
+
+        if self._happens(found.faults.late_polls):
+            return await self._carry_out_late(found, call, timeout_s)
+        outcome = call(found)
+        if outcome is not OrderOutcome.DONE:
+            return WorkerAnswer(outcome)
         if wait_s and not found.ended:
             found.news.clear()
             try:
@@ -182,19 +248,53 @@
                     await found.news.wait()
             except TimeoutError:
                 pass
-        if found.dead or found.faults.cut:
+        if found.dead and found.breaks_calls:
+            return WorkerAnswer(OrderOutcome.UNKNOWN)
+        lost = self._happens(found.faults.lost_polls)
+        if found.dead or found.faults.cut or lost:
+            await asyncio.sleep(max(0.0, ends_at - self.now()))
             return WorkerAnswer(OrderOutcome.UNKNOWN)
         return WorkerAnswer(OrderOutcome.DONE, self._inventory(found))
 
-    def _later(self, worker: FakeWorker, call: object, *arguments: object) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(worker.faults.late_s, call, *arguments)  # type: ignore[arg-type]
+    def _happens(self, probability: float) -> bool:
+        return probability > 0 and self.rng.random() < probability
+
+    async def _carry_out_late(
+        self,
+        found: FakeWorker,
+        call: Callable[[FakeWorker], OrderOutcome],
+        timeout_s: float,
+    ) -> WorkerAnswer:
+        """Leave a call unanswered; the worker's life at its arrival carries it out."""
+        entry = found.entry
+
+        def arrive() -> None:
+            listening = self._listening(entry)
+            if listening is not None and not listening.faults.cut:
+                call(listening)
+
+        asyncio.get_running_loop().call_later(found.faults.late_s, arrive)
+        await asyncio.sleep(timeout_s)
+        return WorkerAnswer(OrderOutcome.UNKNOWN)
+
+    def _listening(self, entry: WorkerEntry) -> FakeWorker | None:
+        """Return the life that a call meant for an entry reaches, if there is one."""
+        found = self.workers_by_address.get(entry.address)
+        if found is None or found.dead:
+            return None
+        return found if found.entry.worker_id == entry.worker_id else None
+
+    def _refused(self) -> WorkerAnswer:
+        """Return the answer of an address at which no process listens."""
+        return WorkerAnswer(OrderOutcome.UNREACHABLE)
 
     async def _reach(
         self, entry: WorkerEntry, timeout_s: float
     ) -> FakeWorker | WorkerAnswer:
         await asyncio.sleep(ORDER_LATENCY_S)
         found = self.workers_by_address.get(entry.address)
+        if found is not None and found.dead and found.refuses and not found.faults.cut:
+            return self._refused()
         if found is None or found.dead or found.faults.cut:
             await asyncio.sleep(timeout_s)
             return WorkerAnswer(OrderOutcome.UNREACHABLE)
@@ -219,10 +319,29 @@
             return 0
         return min(99, int(100 * (self.now() - run.began_at) / max(run.run_s, 0.01)))
 
+    def _poll(
+        self,
+        worker: FakeWorker,
+        epoch: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+    ) -> OrderOutcome:
+        if epoch < worker.token:
+            return OrderOutcome.FENCED
+        worker.token = epoch
+        self._acknowledge(worker, acknowledged)
+        if lease_until_ms is not None:
+            self._extend(worker, lease_until_ms)
+        return OrderOutcome.DONE
+
     def _acknowledge(self, worker: FakeWorker, number: int) -> None:
-        for end in worker.ended:
-            if end.number <= number and end.kind is EndKind.DONE:
-                self.done_noted.add(end.task)
+        for report in worker.ended:
+            if report.number <= number:
+                end = worker.unacknowledged_by_number.pop(report.number)
+                spec = self.specs_by_id[end.task.job_id]
+                self.history.on_acknowledged(spec, end, worker.lapses, self.now())
+                if end.kind is EndKind.DONE:
+                    self.done_noted.add(end.task)
         worker.ended = [end for end in worker.ended if end.number > number]
 
     def _extend(self, worker: FakeWorker, until_ms: int) -> None:
@@ -238,6 +357,7 @@
         worker.lease_timer = loop.call_later(left_s + 0.001, self._lapse, worker)
 
     def _lapse(self, worker: FakeWorker) -> None:
+        worker.lapses += 1
         for run in list(worker.runs_by_id.values()):
             self._end(worker, run, EndKind.LEASE_LAPSED)
 
@@ -252,9 +372,9 @@
         key = (order.task, order.run)
         if key in worker.runs_by_id:
             return OrderOutcome.DONE
+        self._extend(worker, order.lease_until_ms)
         if order.run <= worker.highest_by_task.get(order.task, 0):
             return OrderOutcome.SUPERSEDED
-        self._extend(worker, order.lease_until_ms)
         spec = self.specs_by_id.get(order.task.job_id)
         if spec is None:
             self.report(f"{order.task} was started but never submitted")
@@ -288,8 +408,7 @@
             used = used + run.need
         if not (used + step.need).fits_in(worker.entry.capacity):
             self.report(f"{worker.entry.worker_id} is overcommitted by {task}")
-        if task in self.done_noted and not step.duplicates_allowed:
-            self.report(f"{task} was started after it was done")
+        self.history.on_start(spec, task, order.run, worker.life, self.now())
         cancelled_at = self.cancelled_at.get(task.job_id)
         if cancelled_at is not None and self.now() > cancelled_at + 3.0:
             self.report(f"{task} was started after its job was cancelled")
@@ -361,7 +480,11 @@
         worker.count += 1
         worker.ended.append(EndReport(worker.count, run.task, run.number, kind, ""))
         worker.news.set()
-        step = self.specs_by_id[run.task.job_id].steps[run.task.step]
+        spec = self.specs_by_id[run.task.job_id]
+        end = RunEnd(run.task, run.number, kind, worker.life, self.now(), worker.lapses)
+        worker.unacknowledged_by_number[worker.count] = end
+        self.history.on_end(spec, end)
+        step = spec.steps[run.task.step]
         if kind is EndKind.DONE:
             self.done.add(run.task)
         if step.gang and kind is not EndKind.DONE:
