--- a/tests/cell/test_run_once.py
+++ b/tests/cell/test_run_once.py
@@ -229,6 +229,7 @@
     cell.store.faults.slow_factor = 1.0
     assert await cell.finished({spec.job_id}, SETTLE_S) == set()
     await asyncio.sleep(3.0)
+    assert not cell.fleet.violations, cell.fleet.violations[:3]
     assert cell.fleet.starts == tasks
 
 
