Acknowledge ends, and judge runs, within one life of a worker

Callers may see a task run again after its end, or twice at the same time, when workers restart under their ids.

Cause: a call names the id of a worker, not its life. Three things outlived a life: - The number of the last acknowledged end. After a restart that the holder had not noticed yet it made the new life forget ends of its own that nobody had read. - Orders on their way. Starts that were sent to the old entry ran in the new life, while their tasks were planned again as soon as the restart was noticed. - Calls that are carried out late, with a token that the new life had no reason to refuse.

Now polls of a worker use a connection of their own. A number is acknowledged only on the connection on which the last poll was answered, which leads to the same process; otherwise the poll acknowledges nothing. Each life gets a higher token. Runs that may have reached the new life stay charged until it has given an inventory after it saw this token: what that lists runs or has ended there, and of the rest nothing can start any more.

Tried: a higher token after each poll without an answer. A life needs one token only.

Ruled out by the design: a term that ends because of the holder's own late call, since orders to an earlier life are not judged by their answer.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -167,11 +167,6 @@
             self._holder_term.valid_until = float("-inf")
             self.close()
 
-    def on_worker_restarted(self, worker: Worker, born_ms: int) -> None:
-        """Replace a worker by its new incarnation."""
-        self._start_polling(self.ledger.replace_worker(worker, born_ms))
-        self.wake()
-
     def wake(self) -> None:
         """Request a scheduling round."""
         self._wake.set()
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -25,6 +25,9 @@
 RUN_BITS = 20
 """Bits of a run number below the epoch, so that run numbers increase with the epoch."""
 
+TOKEN_BITS = 20
+"""Bits of a token below the epoch, so that tokens increase with the epoch."""
+
 STALL_TIMEOUT_S = 2.0
 """Time without progress after which a run counts as stalled."""
 
@@ -80,6 +83,7 @@
         self.began_at = clock.now()
         self.run_time_ratios = RunTimeRatios()
         self._next_run = epoch << RUN_BITS
+        self._last_token = epoch << TOKEN_BITS
         self._rates = RateMeter()
         self._reported_workers: set[str] = set()
         self._forgotten_jobs: set[str] = set()
@@ -114,25 +118,51 @@
                     known.update_entry(replace(known.entry, suspended=True))
                 continue
             if known is not None:
-                self.on_worker_dead(known, "started again under its id")
-            worker = self._add_worker(
-                entry, self.began_at + self.lease_durations.longest_s
-            )
+                worker = self.replace_worker(known, entry)
+            else:
+                worker = self._add_worker(
+                    entry, self.began_at + self.lease_durations.longest_s
+                )
             worker.registered = entry.worker_id in by_id
             added.append(worker)
         return added
 
-    def replace_worker(self, worker: Worker, born_ms: int) -> Worker:
-        """Replace a worker that restarted under the same id."""
-        self.on_worker_dead(worker, "started again under its id")
-        entry = replace(worker.entry, born_ms=born_ms)
-        return self._add_worker(
+    def replace_worker(self, worker: Worker, entry: WorkerEntry) -> Worker:
+        """Replace a worker by its next life under the same id.
+
+        Start orders that were sent to the earlier life may have reached the new one, so
+        their runs are charged to it until its inventory is known.
+        """
+        successor = self._add_worker(
             entry, self.clock.now() + self.lease_durations.longest_s
         )
+        successor.restarted = True
+        _LOG.warning(
+            "worker started again under its id",
+            worker=worker.incarnation_id,
+            successor=successor.incarnation_id,
+            runs=len(worker.runs_by_id),
+            ends_read=worker.applied,
+            ends_acknowledged=worker.acknowledged,
+        )
+        worker.dead = True
+        for run in list(worker.runs_by_id.values()):
+            if run.state is RunState.PLANNED or (
+                run.listed and not run.unanswered_starts
+            ):
+                self.give_up(run, GiveUpReason.WORKER_ENDED)
+                continue
+            worker.release(run)
+            run.worker = successor
+            run.listed = False
+            successor.charge(run)
+        return successor
 
     def _add_worker(self, entry: WorkerEntry, lease_end: float) -> Worker:
         """Add a worker whose inventory is not known yet."""
-        worker = self.workers_by_id[entry.worker_id] = Worker(entry, lease_end)
+        self._last_token += 1
+        worker = Worker(entry, lease_end, token=self._last_token)
+        self.workers_by_id[entry.worker_id] = worker
         # The inventory of an earlier incarnation does not cover assignments to this one.
         self._reported_workers.discard(entry.worker_id)
         return worker
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from dataclasses import replace
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.jobs import Step
@@ -53,10 +54,6 @@
     def on_fenced(self) -> None:
         """Handle an order or poll rejected because of a later holder."""
 
-    @abstractmethod
-    def on_worker_restarted(self, worker: Worker, born_ms: int) -> None:
-        """Handle a worker that restarted under the same id."""
-
     @abstractmethod
     def wake(self) -> None:
         """Request a scheduling round."""
@@ -75,25 +72,31 @@
 
     async def start(self, run: Run, step: Step) -> None:
         """Start a planned run; stop it if no order is answered."""
-        for _ in range(MAX_START_ATTEMPTS):
-            if run.state not in (RunState.PLANNED, RunState.STARTING):
-                return
+        while run.state in (RunState.PLANNED, RunState.STARTING):
             if not self._guard.is_holder():
                 if run.state is RunState.PLANNED:
                     self._ledger.withdraw(run)
                 return
+            worker = run.worker
+            if not worker.inventory_known:
+                # It restarted; its inventory tells whether the run has reached it.
+                await asyncio.sleep(RETRY_S)
+                continue
+            if run.unanswered_starts >= MAX_START_ATTEMPTS:
+                self._ledger.stop(run, "the start was not answered")
+                self._guard.wake()
+                return
             outcome = await self._send_start(run, step)
-            if outcome is OrderOutcome.DONE:
+            if outcome is OrderOutcome.UNKNOWN:
+                run.unanswered_starts += 1
+            elif run.worker is not worker:
+                continue  # It is not known which life of the worker has answered.
+            elif outcome is OrderOutcome.DONE:
                 self._ledger.on_started(run)
                 self._guard.wake()
-                return
-            if outcome is not OrderOutcome.UNKNOWN:
+            else:
                 self._on_refused(run, step, outcome)
                 return
-            run.unanswered_starts += 1
-        if run.state is RunState.STARTING:
-            self._ledger.stop(run, "the start was not answered")
-            self._guard.wake()
 
     async def _send_start(self, run: Run, step: Step) -> OrderOutcome:
         now = self._clock.now()
@@ -116,7 +119,7 @@
                 run=run.number,
                 payload=step.job.spec.payload,
                 lease_until_ms=until_ms,
-                token=self._ledger.epoch,
+                token=worker.token,
                 checkpoint=run.checkpoint,
                 ticket=ticket.value if ticket is not None else "",
             ),
@@ -177,12 +180,15 @@
 
     async def stop(self, run: Run) -> None:
         """Stop a run; repeat the order until it is answered or the worker is gone."""
-        worker = run.worker
-        while (run.task, run.number) in worker.runs_by_id and not worker.dead:
+        while run.state is RunState.STOPPING and not run.worker.dead:
+            worker = run.worker
             if not self._guard.is_holder():
                 return
+            if not worker.inventory_known:
+                await asyncio.sleep(RETRY_S)
+                continue
             answer = await self._workers.stop(
-                worker.entry, run.task, run.number, self._ledger.epoch, ORDER_TIMEOUT_S
+                worker.entry, run.task, run.number, worker.token, ORDER_TIMEOUT_S
             )
             _LOG.info(
                 "sent stop order",
@@ -193,6 +199,8 @@
                 reason=run.stop_reason,
                 outcome=answer.outcome,
             )
+            if run.worker is not worker:
+                continue  # It is not known which life of the worker has answered.
             if answer.outcome is OrderOutcome.FENCED:
                 self._guard.on_fenced()
                 return
@@ -210,7 +218,13 @@
 
 
 class WorkerPoller:
-    """Polls one worker, which renews its run leases and reports ended runs."""
+    """Polls one worker, which renews its run leases and reports ended runs.
+
+    Polls that are answered one after the other on the same connection are a conversation
+    with one life of the worker; only there ends are acknowledged. The token of the next
+    life is higher, so that it refuses what was sent to the one before. What it runs is
+    taken from an inventory that it gave after it had seen this token.
+    """
 
     def __init__(
         self,
@@ -251,7 +265,8 @@
         worker, ledger = self._worker, self._ledger
         sent_at = self._clock.now()
         first = not worker.inventory_known
-        wait_s = 0.0 if first or not self._reachable else POLL_WAIT_S
+        continued, worker.in_conversation = worker.in_conversation, False
+        wait_s = POLL_WAIT_S if continued and not first else 0.0
         until_ms = None
         if worker.clock_ms:
             until_ms = worker.clock_now_ms(sent_at) + int(
@@ -262,12 +277,14 @@
         timeout_s = wait_s + (FIRST_POLL_TIMEOUT_S if first else POLL_TIMEOUT_S)
         answer = await self._workers.poll(
             worker.entry,
-            ledger.epoch,
-            worker.acknowledged,
+            worker.token,
+            worker.acknowledged if continued else None,
             until_ms,
             wait_s,
             timeout_s,
         )
+        if worker.dead:
+            return False
         if answer.outcome.was_sent:
             worker.lease_end = max(worker.lease_end, worker.requested_lease_end)
         worker.requested_lease_end = float("-inf")
@@ -283,13 +300,17 @@
             ledger.on_worker_dead(worker, "another life answered")
             self._guard.wake()
             return False
+        if answer.outcome is OrderOutcome.CONNECTION_CLOSED:
+            return True
         self._set_reachable(answer.inventory is not None, answer.detail)
         if answer.inventory is None:
             return False
         born_ms = answer.inventory.born_ms
         if born_ms and worker.entry.born_ms != born_ms:
-            self._guard.on_worker_restarted(worker, born_ms)
-            return False
+            entry = replace(worker.entry, born_ms=born_ms)
+            self._worker = ledger.replace_worker(worker, entry)
+            return True
+        worker.in_conversation = True
         has_new_ends = self._reconciler.on_inventory(worker, answer.inventory, sent_at)
         if first:
             ledger.expire()
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -125,7 +125,8 @@
     certainly not been carried out, but an earlier order of the same run may have been.
     After ``SUPERSEDED`` this run, or a later one of its task, has ended on the worker.
     ``CONNECTION_REFUSED`` means that no process listens at the worker's address, while
-    behind ``UNREACHABLE`` the worker may run on.
+    behind ``UNREACHABLE`` the worker may run on. ``CONNECTION_CLOSED`` is the outcome of a
+    poll that was not sent, since it was to continue on a connection that is closed.
     """
 
     DONE = "done"
@@ -139,12 +140,17 @@
     WRONG_INCARNATION = "other-life"
     UNREACHABLE = "unreachable"
     CONNECTION_REFUSED = "connection-refused"
+    CONNECTION_CLOSED = "connection-closed"
     UNKNOWN = "unknown"
 
     @property
     def was_sent(self) -> bool:
         """Whether the worker may have received the order."""
-        return self not in (OrderOutcome.UNREACHABLE, OrderOutcome.CONNECTION_REFUSED)
+        return self not in (
+            OrderOutcome.UNREACHABLE,
+            OrderOutcome.CONNECTION_REFUSED,
+            OrderOutcome.CONNECTION_CLOSED,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,7 +185,8 @@
 class Workers(ABC):
     """Client of the workers.
 
-    Every order names the worker incarnation that it is meant for.
+    Every order names the id of the worker that it is meant for. A worker that restarts
+    under its id carries out orders that were meant for its earlier life, too.
     """
 
     @abstractmethod
@@ -199,7 +206,7 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledged: int | None,
         lease_until_ms: int | None,
         wait_s: float,
         timeout_s: float,
@@ -207,7 +214,10 @@
         """Extend the run leases and return the inventory.
 
         Waits up to ``wait_s`` for the end of a run. ``acknowledged`` is the number of
-        the last end report that the worker may delete.
+        the last end report that the worker may delete. Numbers start anew in each life
+        of a worker, so a number is sent only over the connection on which the last poll
+        was answered, and nothing is sent if that is closed. A poll with None may open
+        another connection and acknowledges nothing.
         """
 
 
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -37,7 +37,7 @@
         worker.contact_at = now
         worker.clock_ms, worker.clock_at = inventory.clock_ms, now
         has_new_ends = False
-        if worker.inventory_known:
+        if worker.inventory_known or worker.restarted:
             self._count_gap(worker, inventory)
         for end in inventory.ended:
             if end.number > worker.applied:
@@ -73,6 +73,7 @@
 
     def _update_run(self, run: Run, report: RunReport, now: float) -> None:
         run.missing_polls = 0
+        run.listed = True
         if run.state is RunState.STARTING:
             self._ledger.on_started(run)
         if report.checkpoint:
@@ -121,7 +122,7 @@
         run.answered_at = self._ledger.clock.now()
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = report.percent
-        run.resumed = True
+        run.resumed = run.listed = True
         self._ledger.mark_job_started(step.job)
         if step.job.final or task.ordinal in step.progress.done:
             self._ledger.stop(run, "the task is not wanted")
@@ -136,6 +137,11 @@
         """Handle a run that the inventory lists neither as running nor as ended."""
         if run.state is RunState.PLANNED:
             return
+        if not run.worker.inventory_known:
+            # The run was ordered from an earlier life, which is over, and the token of
+            # this inventory fences off orders that are still under way.
+            self._ledger.give_up(run, GiveUpReason.WORKER_ENDED)
+            return
         if run.state is RunState.STARTING:
             if inventory.clock_ms > run.order_until_ms > 0:
                 self._ledger.give_up(run, GiveUpReason.ORDER_EXPIRED)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -68,7 +68,8 @@
     ``need`` is what the run occupies on the worker, ``charge`` what it counts against
     the customer's limit. ``order_until_ms`` is a time on the worker's clock after which
     no start order of the run is carried out. ``answered_at`` is the time at which the
-    last order was answered. ``resumed`` tells whether the run started from a checkpoint.
+    last order was answered. ``resumed`` tells whether the run started from a checkpoint,
+    ``listed`` whether an inventory of the worker's present life has listed the run.
     """
 
     task: TaskId
@@ -86,6 +87,7 @@
     percent_at: float = 0.0
     checkpoint: str = ""
     resumed: bool = False
+    listed: bool = False
     missing_polls: int = 0
     stop_reason: str = ""
 
@@ -137,6 +139,11 @@
 
     ``lease_end`` is the time on the holder's clock by which all leases given so far
     have certainly expired; ``requested_lease_end`` is the same for the poll in flight.
+
+    ``token`` goes with all calls, so that the worker refuses those that were sent to an
+    earlier life. ``restarted`` tells that the life began during this term.
+    ``in_conversation`` tells that the last poll was answered, so that the next one
+    reaches the same process on its connection.
     """
 
     entry: WorkerEntry
@@ -151,6 +158,9 @@
     dead: bool = False
     applied: int = 0
     acknowledged: int = 0
+    in_conversation: bool = False
+    token: int = 0
+    restarted: bool = False
     contact_at: float = -1e9
     clock_ms: int = 0
     clock_at: float = 0.0
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -136,9 +136,6 @@
     def on_fenced(self) -> None:
         raise AssertionError
 
-    def on_worker_restarted(self, worker: Worker, born_ms: int) -> None:
-        raise AssertionError
-
     def wake(self) -> None:
         raise AssertionError
 
@@ -416,7 +413,7 @@
     assigned = StepProgress(assigned_by_index={0: "w0"})
     progress = JobProgress(begun=True, steps_by_key={"0.0": assigned})
     ledger.set_job("j1", JobEntry(spec=spec, progress=progress))
-    reborn = ledger.replace_worker(old, born_ms=2)
+    reborn = ledger.replace_worker(old, replace(old.entry, born_ms=2))
     assert started(ledger) == []
     task = ledger.jobs_by_id["j1"].steps_by_id[StepId("j1", 0, 0)].step_id.task(0)
     poll(ledger, reborn, running=(RunReport(task, 7, "", 0, 0.0),))
--- a/tests/cell/test_run_once.py
+++ b/tests/cell/test_run_once.py
@@ -168,12 +168,25 @@
 
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("late_s", [2.0, 4.0])
-@pytest.mark.parametrize("orders", [0.0, 0.2], ids=["polls", "polls and orders"])
 @with_cell()
-async def test_late_calls_do_no_harm_in_the_next_life(
-    cell: FakeCell, seed: int, late_s: float, orders: float
+async def test_late_polls_do_no_harm_in_the_next_life(
+    cell: FakeCell, seed: int, late_s: float
+) -> None:
+    """Guards against polls that are carried out in a later life (TWICE)."""
+    await _run_beside_late_calls(cell, late_s, orders=0.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("late_s", [2.0, 4.0])
+@with_cell()
+async def test_late_orders_do_no_harm_in_the_next_life(
+    cell: FakeCell, seed: int, late_s: float
 ) -> None:
     """Guards against polls and orders that are carried out in a later life (TWICE)."""
+    await _run_beside_late_calls(cell, late_s, orders=0.2)
+
+
+async def _run_beside_late_calls(cell: FakeCell, late_s: float, orders: float) -> None:
     for worker in _workers(cell):
         worker.faults.late_polls, worker.faults.late_s = 0.2, late_s
         worker.faults.late_orders = orders
--- a/tests/cell/test_start_orders.py
+++ b/tests/cell/test_start_orders.py
@@ -23,7 +23,7 @@
     WorkerAnswer,
     Workers,
 )
-from briarrun_cell.workers import RunState, Worker
+from briarrun_cell.workers import RunState
 from tests.cell.rounds import ROUND_S, step_of
 from tests.cell.test_ledger import ManualClock, job, make_ledger, poll
 
@@ -38,9 +38,6 @@
     def on_fenced(self) -> None:
         raise AssertionError
 
-    def on_worker_restarted(self, worker: Worker, born_ms: int) -> None:
-        raise AssertionError
-
     def wake(self) -> None:
         return
 
--- a/tests/cell/test_unsettled_starts.py
+++ b/tests/cell/test_unsettled_starts.py
@@ -9,7 +9,7 @@
 from briarrun_cell.orders import HolderTermGuard, OrderSender
 from briarrun_cell.planner import Planner
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
-from briarrun_cell.workers import Run, Worker
+from briarrun_cell.workers import Run
 from briarrun_core.resources import Resources
 from tests.cell.rounds import step_of
 from tests.cell.test_ledger import ManualClock, job, make_ledger, poll
@@ -31,9 +31,6 @@
     def on_fenced(self) -> None:
         raise AssertionError
 
-    def on_worker_restarted(self, worker: Worker, born_ms: int) -> None:
-        raise AssertionError
-
     def wake(self) -> None:
         return
 
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -95,7 +95,7 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledged: int | None,
         lease_until_ms: int | None,
         wait_s: float,
         timeout_s: float,
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -122,6 +122,7 @@
         self.stops = 0
         self.first_start_by_job: dict[str, float] = {}
         self.looks = 0
+        self._connected_by_address: dict[str, FakeWorker] = {}
 
     def now(self) -> float:
         """Return the loop's time."""
@@ -222,20 +223,23 @@
         self,
         worker: WorkerEntry,
         token: int,
-        acknowledged: int,
+        acknowledged: int | None,
         lease_until_ms: int | None,
         wait_s: float,
         timeout_s: float,
     ) -> WorkerAnswer:
         """Return the inventory after a wait for an end."""
         self.looks += 1
+        connected = self._connected_by_address.pop(worker.address, None)
+        if acknowledged is not None and (connected is None or connected.dead):
+            return WorkerAnswer(OrderOutcome.CONNECTION_CLOSED)
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
         ends_at = self.now() + timeout_s
 
         def call(life: FakeWorker) -> OrderOutcome:
-            return self._poll(life, token, acknowledged, lease_until_ms)
+            return self._poll(life, token, acknowledged or 0, lease_until_ms)
 
         if self._happens(found.faults.late_polls):
             return await self._carry_out_late(found, call, timeout_s)
@@ -255,6 +259,7 @@
         if found.dead or found.faults.cut or lost:
             await asyncio.sleep(max(0.0, ends_at - self.now()))
             return WorkerAnswer(OrderOutcome.UNKNOWN)
+        self._connected_by_address[worker.address] = found
         return WorkerAnswer(OrderOutcome.DONE, self._inventory(found))
 
     def _happens(self, probability: float) -> bool:
@@ -287,7 +292,7 @@
 
     def _refused(self) -> WorkerAnswer:
         """Return the answer of an address at which no process listens."""
-        return WorkerAnswer(OrderOutcome.UNREACHABLE)
+        return WorkerAnswer(OrderOutcome.CONNECTION_REFUSED)
 
     async def _reach(
         self, entry: WorkerEntry, timeout_s: float
