Give the next life of a worker no runs before its entry is read

Workers of another size, restarted under their id, were overcommitted: a poll shows the restart before the registry does, and the capacity was that of the earlier life.

The new life now counts as suspended, as with an entry that cannot be read, until its own entry arrives.

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -307,7 +307,8 @@
             return False
         born_ms = answer.inventory.born_ms
         if born_ms and worker.entry.born_ms != born_ms:
-            entry = replace(worker.entry, born_ms=born_ms)
+            # The new life may have another capacity: it gets no runs before its entry.
+            entry = replace(worker.entry, born_ms=born_ms, suspended=True)
             self._worker = ledger.replace_worker(worker, entry)
             return True
         worker.in_conversation = True
--- a/tests/cell/test_worker_lives.py
+++ b/tests/cell/test_worker_lives.py
@@ -15,6 +15,7 @@
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
 from briarrun_cell.reconciler import MAX_MISSING_POLLS, InventoryReconciler
 from briarrun_cell.workers import Run, RunState, Worker
+from briarrun_core.resources import Resources
 from tests.cell.rounds import step_of
 from tests.cell.test_ledger import TERMS, entry, job, make_ledger, poll, started
 from tests.cell.test_unsettled_starts import Guard
@@ -260,3 +261,18 @@
     assert step.pending == (set() if listed_by in ("running", "done") else {0})
     runs = [each.number for each in step.runs()]
     assert runs == ([run.number] if listed_by == "running" else [])
+
+
+async def test_next_life_gets_no_runs_before_its_entry_is_read() -> None:
+    """Guards against runs on a restarted worker that is smaller than it was before."""
+    ledger = make_ledger(workers=1)
+    (worker,) = ledger.workers_by_id.values()
+    await _poll(ledger, worker, [_inventory(2), _inventory(2)])
+    (worker,) = ledger.workers_by_id.values()
+    worker.dead = False
+    job(ledger, "j")
+    assert started(ledger) == []
+    ledger.set_workers([entry("w0", born_ms=2, cores=500)], [])
+    assert worker.free() == Resources(500, 10_000)
+    ledger.set_workers([entry("w0", born_ms=2)], [])
+    assert len(started(ledger)) == 1
