Write a full log buffer before dropping further lines

Operators would see a VM's log end for good after its reader stopped for a while: found by reading the code and shown by the new test, not seen on a deployment. The buffer was only written after a line was added to it; when it was so full that no line fitted, every later line was dropped without a try to write. Now a buffer without room is written first. The count of dropped lines is also kept until its notice is in the buffer.

--- a/packages/cell/src/briarrun_cell/logs.py
+++ b/packages/cell/src/briarrun_cell/logs.py
@@ -88,15 +88,14 @@
         if wall_ms // 1000 != self._second:
             self._second = wall_ms // 1000
             self._written = 0
-            if self.dropped:
-                self._emit(
-                    {
-                        "message_type": "main:warning",
-                        "message": "main: log lines were dropped",
-                        "dropped": self.dropped,
-                        "wall_ms": wall_ms,
-                    }
-                )
+            if self.dropped and self._emit(
+                {
+                    "message_type": "main:warning",
+                    "message": "main: log lines were dropped",
+                    "dropped": self.dropped,
+                    "wall_ms": wall_ms,
+                }
+            ):
                 self.dropped = 0
         if self._written >= self._max_per_s:
             self.dropped += 1
@@ -107,16 +106,24 @@
             if key not in ("task_uuid", "task_level", "timestamp")
         }
         line["wall_ms"] = wall_ms
-        self._emit(line)
+        if self._emit(line):
+            self._written += 1
+        else:
+            self.dropped += 1
 
-    def _emit(self, line: dict[str, Any]) -> None:
+    def _emit(self, line: dict[str, Any]) -> bool:
         line["vm"] = self._vm
         encoded = msgspec.json.encode(line, enc_hook=str) + b"\n"
         if len(self._pending) + len(encoded) > MAX_PENDING_BYTES:
-            self.dropped += 1
-            return
-        self._written += 1
+            # A full buffer is written here, since no further line fits into it.
+            self._flush()
+        if len(self._pending) + len(encoded) > MAX_PENDING_BYTES:
+            return False
         self._pending += encoded
+        self._flush()
+        return True
+
+    def _flush(self) -> None:
         try:
             written = self._write(self._pending)
         except BlockingIOError:
