Define counters of runs that are given up and of ends that are lost

Operators could see neither of them in /metrics, only in log lines, which are dropped in busy seconds. The counters are definitions: nothing counts them yet.

--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -64,6 +64,17 @@
             registry=registry,
         )
         self.set_waits({}, {})
+        self.requeued_runs = Counter(
+            "briarrun_requeued_runs",
+            "Runs that were given up so that their tasks start again, by reason.",
+            ("reason",),
+            registry=registry,
+        )
+        self.end_gaps = Counter(
+            "briarrun_end_gaps",
+            "Ends of runs that a worker forgot before the holder read them.",
+            registry=registry,
+        )
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
@@ -87,6 +98,14 @@
         """Record the wait of a job for its first start."""
         self.start_wait_s.labels(customer, queue).observe(max(0.0, seconds))
 
+    def observe_requeue(self, reason: str) -> None:
+        """Count a run that was given up so that its task starts again."""
+        self.requeued_runs.labels(reason).inc()
+
+    def observe_end_gap(self, ends: int) -> None:
+        """Count ends of runs that a worker forgot before they were read."""
+        self.end_gaps.inc(ends)
+
     def set_waits(
         self,
         count_by_reason: Mapping[str, int],
--- a/tests/cell/test_operations.py
+++ b/tests/cell/test_operations.py
@@ -58,6 +58,35 @@
     assert explainer.asked == ["a/b"]
     metrics = await handler.handle(HttpRequest("GET", "/metrics"))
     assert metrics.status == 200
+
+
+@pytest.mark.parametrize(
+    ("requeues", "gaps", "lines"),
+    [
+        ((), (), ["briarrun_end_gaps_total 0.0"]),
+        ((), (2, 3), ["briarrun_end_gaps_total 5.0"]),
+        (
+            ("refused", "lost", "refused"),
+            (),
+            [
+                'briarrun_requeued_runs_total{reason="refused"} 2.0',
+                'briarrun_requeued_runs_total{reason="lost"} 1.0',
+            ],
+        ),
+    ],
+)
+async def test_second_starts_and_forgotten_ends_are_shown(
+    requeues: tuple[str, ...], gaps: tuple[int, ...], lines: list[str]
+) -> None:
+    """Guards against runs that are given up without a trace outside the log."""
+    metrics = Metrics()
+    for reason in requeues:
+        metrics.observe_requeue(reason)
+    for ends in gaps:
+        metrics.observe_end_gap(ends)
+    handler = OperationsHandler("/metrics", metrics, _Explainer(None), 9464)
+    response = await handler.handle(HttpRequest("GET", "/metrics"))
+    assert set(lines) <= set(response.body.decode().splitlines())
     assert (await handler.handle(HttpRequest("GET", "/other"))).status == 404
 
 
