--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -313,10 +313,10 @@
     def _report_runs(self) -> None:
         """Log the runs that ended since the last round, in one line; count the others."""
         for reason in self.ledger.given_up:
-            self._deps.metrics.requeued_runs.labels(reason).inc()
+            self._deps.metrics.observe_requeue(reason)
         self.ledger.given_up.clear()
         if self.ledger.end_gaps:
-            self._deps.metrics.end_gaps.inc(self.ledger.end_gaps)
+            self._deps.metrics.observe_end_gap(self.ledger.end_gaps)
             self.ledger.end_gaps = 0
         ended, self.ledger.ended = self.ledger.ended, []
         if ended:
