Leave a run alone that an inventory lists while its repeated order is refused

Callers may see work stopped and started again that was running well.

Cause: the first order of a run had no answer, an inventory listed the run, and the repeat was refused (expired, busy, no room): the run was stopped as unsettled, although it was settled.

Also, answers to orders of a worker that is no longer in the ledger are not judged, so that its next entry, which has a higher token, cannot end the term; a poll whose connection is closed is repeated after a pause, so that a worker that closes every connection is not polled in a loop; and workers whose entries do not tell their lives apart are not suspended by a restart.

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -89,7 +89,7 @@
             outcome = await self._send_start(run, step)
             if outcome is OrderOutcome.UNKNOWN:
                 run.unanswered_starts += 1
-            elif run.worker is not worker:
+            elif run.worker is not worker or worker.dead:
                 continue  # It is not known which life of the worker has answered.
             elif outcome is OrderOutcome.DONE:
                 self._ledger.on_started(run)
@@ -153,6 +153,8 @@
             return
         if outcome is OrderOutcome.WRONG_INCARNATION:
             self._ledger.on_worker_dead(run.worker, "another life answered")
+        elif run.state is not RunState.STARTING:
+            return  # An inventory has settled meanwhile what became of the run.
         elif outcome is OrderOutcome.SUPERSEDED:
             # The run may have started, and its worker may still list its end.
             self._ledger.await_inventory(run, "its worker has ended it before")
@@ -199,7 +201,7 @@
                 reason=run.stop_reason,
                 outcome=answer.outcome,
             )
-            if run.worker is not worker:
+            if run.worker is not worker or worker.dead:
                 continue  # It is not known which life of the worker has answered.
             if answer.outcome is OrderOutcome.FENCED:
                 self._guard.on_fenced()
@@ -301,14 +303,17 @@
             self._guard.wake()
             return False
         if answer.outcome is OrderOutcome.CONNECTION_CLOSED:
-            return True
+            return False
         self._set_reachable(answer.inventory is not None, answer.detail)
         if answer.inventory is None:
             return False
         born_ms = answer.inventory.born_ms
         if born_ms and worker.entry.born_ms != born_ms:
-            # The new life may have another capacity: it gets no runs before its entry.
-            entry = replace(worker.entry, born_ms=born_ms, suspended=True)
+            # The new life may have another capacity: it gets no runs before its entry,
+            # unless entries do not tell lives apart.
+            entry = replace(
+                worker.entry, born_ms=born_ms, suspended=worker.entry.born_ms > 0
+            )
             self._worker = ledger.replace_worker(worker, entry)
             return True
         worker.in_conversation = True
--- a/tests/cell/test_worker_lives.py
+++ b/tests/cell/test_worker_lives.py
@@ -11,7 +11,8 @@
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, Inventory, RunReport, WorkerEntry
-from briarrun_cell.orders import WorkerPoller
+from briarrun_cell.orders import OrderSender, WorkerPoller
+from briarrun_cell.planner import Planner
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
 from briarrun_cell.reconciler import MAX_MISSING_POLLS, InventoryReconciler
 from briarrun_cell.workers import Run, RunState, Worker
@@ -276,3 +277,51 @@
     assert worker.free() == Resources(500, 10_000)
     ledger.set_workers([entry("w0", born_ms=2)], [])
     assert len(started(ledger)) == 1
+
+
+class _Listing(Workers):
+    """Answers no start first, then refuses it after an inventory has listed the run."""
+
+    def __init__(self, ledger: Ledger, run: Run, refusal: OrderOutcome) -> None:
+        self._ledger = ledger
+        self._run = run
+        self._refusal = refusal
+
+    async def start(self, *_: object) -> WorkerAnswer:
+        run = self._run
+        if not run.unanswered_starts:
+            return WorkerAnswer(OrderOutcome.UNKNOWN)
+        report = RunReport(run.task, run.number, "", 0, 0.0)
+        poll(self._ledger, run.worker, running=(report,))
+        return WorkerAnswer(self._refusal)
+
+    async def stop(self, *_: object) -> WorkerAnswer:
+        raise AssertionError
+
+    async def poll(self, *_: object) -> WorkerAnswer:
+        raise AssertionError
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        OrderOutcome.SUPERSEDED,
+        OrderOutcome.EXPIRED,
+        OrderOutcome.NO_CAPACITY,
+        OrderOutcome.BAD_TICKET,
+        OrderOutcome.BUSY,
+        OrderOutcome.UNREACHABLE,
+    ],
+)
+async def test_listed_run_is_left_alone_when_its_repeated_order_is_refused(
+    refusal: OrderOutcome,
+) -> None:
+    """Guards against a run that is stopped, or planned again, while it is at work."""
+    ledger = make_ledger(workers=1)
+    job(ledger, "j")
+    (placement,) = Planner(ledger).plan().placements
+    (run,) = placement.runs
+    workers = _Listing(ledger, run, refusal)
+    await OrderSender(workers, ledger, ledger.clock, Guard()).start(run, placement.step)
+    assert run.state is RunState.RUNNING
+    assert ledger.stops == [] and placement.step.pending == set()
