Let a VM whose term was fenced off give up its claim

Callers would see a cell in which nothing starts any more.

Cause: a worker's refusal for a later token ends the scheduling of the term, but the election did not look at that. The next renewal of the claim succeeded if there was no other holder, and made the term valid again, without a scheduler.

The election now steps down from a fenced term. Without a later holder the VM of the last claim may claim at once, with a new epoch.

--- a/packages/cell/src/briarrun_cell/election.py
+++ b/packages/cell/src/briarrun_cell/election.py
@@ -76,10 +76,15 @@
 
 @dataclass(slots=True)
 class HolderTerm:
-    """Period in which this process is the holder; renewals extend ``valid_until``."""
+    """Period in which this process is the holder; renewals extend ``valid_until``.
+
+    ``fenced`` tells that a worker or the store has refused a call of the term for one of
+    a later term.
+    """
 
     epoch: int
     valid_until: float
+    fenced: bool = False
 
 
 class HolderRole(ABC):
@@ -319,6 +324,9 @@
         await asyncio.sleep(self._renewal_pause_s)
         if self.holder_term is not holder_term:
             return
+        if holder_term.fenced:
+            await self._step_down("fenced off by a later holder", superseded=True)
+            return
         if (
             self._last_claim is not None
             and self._last_claim.incarnation != self._incarnation
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -164,6 +164,7 @@
         """End the session because a later holder has fenced this one off."""
         if not self._closed:
             _LOG.warning("fenced off by a later holder", epoch=self._holder_term.epoch)
+            self._holder_term.fenced = True
             self._holder_term.valid_until = float("-inf")
             self.close()
 
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -11,7 +11,7 @@
 import pytest
 
 from briarrun_cell.clock import LoopClock
-from briarrun_cell.election import MAX_TERM_S, Claim
+from briarrun_cell.election import MAX_TERM_S, Claim, HolderTerm
 from briarrun_cell.frontend import Reply, RequestOutcome, RequestTarget
 from briarrun_cell.holder import CLEANUP_INTERVAL_S
 from briarrun_cell.job_table import JobTable
@@ -586,3 +586,21 @@
     assert await cell.finished({spec.job_id for spec in specs}, 20.0) == set()
     assert leaving.count == 0
     assert not leaving.runs_by_id
+
+
+@with_cell()
+async def test_vm_whose_term_was_fenced_off_does_not_keep_the_cell(
+    cell: FakeCell,
+) -> None:
+    """Guards against a VM that renews its claim although it schedules no more."""
+    holder = await cell.wait_for_holder()
+    assert holder.core is not None
+    session, term = holder.core.holder.session, holder.core.election.holder_term
+    assert session is not None and isinstance(term, HolderTerm)
+    session.on_fenced()
+    await asyncio.sleep(2.0)
+    again = await cell.wait_for_holder()
+    assert again.core is not None and again.core.election.holder_term is not term
+    spec = cell.spec(step(1, 100))
+    await cell.submit(spec)
+    assert await cell.finished({spec.job_id}, 5.0) == set()
