--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -146,18 +146,27 @@
             ends_acknowledged=worker.acknowledged,
         )
         worker.dead = True
+        successor.registered = worker.registered
         for run in list(worker.runs_by_id.values()):
-            if run.state is RunState.PLANNED or (
-                run.listed and not run.unanswered_starts
-            ):
+            if run.state is RunState.PLANNED:
+                self.withdraw(run)
+            elif run.listed and not run.unanswered_starts:
                 self.give_up(run, GiveUpReason.WORKER_ENDED)
-                continue
-            worker.release(run)
-            run.worker = successor
-            run.listed = False
-            successor.charge(run)
+            else:
+                self._move(run, successor)
         return successor
 
+    def _move(self, run: Run, successor: Worker) -> None:
+        """Charge a run to the next life of its worker, which may have started it."""
+        run.worker.release(run)
+        run.worker = successor
+        run.listed = False
+        successor.charge(run)
+        if run.state is RunState.STOPPING and run.answered_at is not None:
+            # The earlier life was told to stop it, the next one was not.
+            run.answered_at = None
+            self.stops.append(run)
+
     def _add_worker(self, entry: WorkerEntry, lease_end: float) -> Worker:
         """Add a worker whose inventory is not known yet."""
         self._last_token += 1
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -269,6 +269,8 @@
         first = not worker.inventory_known
         continued, worker.in_conversation = worker.in_conversation, False
         wait_s = POLL_WAIT_S if continued and not first else 0.0
+        # Left over from a poll that failed with an exception.
+        worker.lease_end = max(worker.lease_end, worker.requested_lease_end)
         until_ms = None
         if worker.clock_ms:
             until_ms = worker.clock_now_ms(sent_at) + int(
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -37,7 +37,7 @@
         worker.contact_at = now
         worker.clock_ms, worker.clock_at = inventory.clock_ms, now
         has_new_ends = False
-        if worker.inventory_known or worker.restarted:
+        if worker.applied or worker.restarted:
             self._count_gap(worker, inventory)
         for end in inventory.ended:
             if end.number > worker.applied:
@@ -123,6 +123,8 @@
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = report.percent
         run.resumed = run.listed = True
+        # Further orders of the earlier holder may be on their way.
+        run.unanswered_starts = 1
         self._ledger.mark_job_started(step.job)
         if step.job.final or task.ordinal in step.progress.done:
             self._ledger.stop(run, "the task is not wanted")
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -141,7 +141,8 @@
     have certainly expired; ``requested_lease_end`` is the same for the poll in flight.
 
     ``token`` goes with all calls, so that the worker refuses those that were sent to an
-    earlier life. ``restarted`` tells that the life began during this term.
+    earlier life. ``restarted`` tells that an earlier life was known in this term, so that
+    all ends of this one are to be read.
     ``in_conversation`` tells that the last poll was answered, so that the next one
     reaches the same process on its connection.
     """
