--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -103,7 +103,10 @@
 
 
 class Fleet(Workers):
-    """Run tasks; ``violations`` lists every broken promise with its time."""
+    """Run tasks; ``violations`` lists every broken promise with its time.
+
+    An order takes up to ``max_order_delay_s`` to its worker, so that polls overtake it.
+    """
 
     def __init__(self, rng: random.Random, max_lease_s: float = 6.0) -> None:
         self.rng = rng
@@ -122,6 +125,7 @@
         self.stops = 0
         self.first_start_by_job: dict[str, float] = {}
         self.looks = 0
+        self.max_order_delay_s = 0.0
         self._connected_by_address: dict[str, FakeWorker] = {}
 
     def now(self) -> float:
@@ -208,6 +212,8 @@
         lost: Callable[[WorkerFaults], float],
         timeout_s: float,
     ) -> WorkerAnswer:
+        if self.max_order_delay_s:
+            await asyncio.sleep(self.rng.uniform(0.0, self.max_order_delay_s))
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
--- a/tools/emulator/cell/once_hunt.py
+++ b/tools/emulator/cell/once_hunt.py
@@ -76,10 +76,17 @@
     life = cell.fleet.rebirth(
         worker, faults=worker.faults, address=address, capacity=capacity
     )
-    if moved or rng.random() < 0.6:
-        await asyncio.sleep(rng.choice((0.0, 0.3)))
-        if not life.dead:
-            cell.register(life.entry)
+    early = moved or rng.random() < 0.6
+    await asyncio.sleep(rng.choice((0.0, 0.3)) if early else 3.0)
+    if not life.dead:
+        cell.register(life.entry)
+
+
+async def _slow_orders(cell: FakeCell, rng: random.Random) -> None:
+    """Let polls overtake orders."""
+    cell.fleet.max_order_delay_s = rng.uniform(0.02, 0.3)
+    await asyncio.sleep(rng.uniform(1.0, 5.0))
+    cell.fleet.max_order_delay_s = 0.0
 
 
 async def _lose_answers(cell: FakeCell, rng: random.Random) -> None:
@@ -168,6 +175,7 @@
 
 FAULTS: dict[str, Callable[[FakeCell, random.Random], Awaitable[None]]] = {
     "restart": _restart,
+    "slow-orders": _slow_orders,
     "lost-answers": _lose_answers,
     "late-calls": _delay_calls,
     "cut": _cut,
