--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,7 +14,7 @@
 from briarrun_platform.decoding import decode_job
 from briarrun_wire.http_client import HttpPool, PoolLimits
 from briarrun_wire.http_types import HttpFailure, HttpFailureKind, HttpResponse
-from tests.soak.world import POOL, QUEUES, REVOCATION_S, SoakVm, World
+from tests.soak.world import MAX_ATTEMPTS, POOL, QUEUES, REVOCATION_S, SoakVm, World
 
 CALL_TIMEOUT_S = 3.0
 CALM_S = 4.0
@@ -251,4 +251,10 @@
 
 
 def _terms(queue: str) -> Queue:
-    return Queue(name=queue, host="", path_prefix=f"/{queue}/", pool=POOL)
+    return Queue(
+        name=queue,
+        host="",
+        path_prefix=f"/{queue}/",
+        pool=POOL,
+        max_attempts=MAX_ATTEMPTS,
+    )
--- a/tests/soak/http_workers.py
+++ b/tests/soak/http_workers.py
@@ -61,7 +61,7 @@
             )
         if request.path == wire.INVENTORY_PATH:
             return _response(
-                await self._fleet.poll(
+                await self._fleet.answer_poll(
                     self.entry,
                     body["fencingToken"],
                     body["ackCursor"],
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,7 @@
 PROGRAM = ROOT / "deploy" / "briarrun_cell.py"
 POOL = "planner"
 QUEUES = ("urgent", "normal")
+MAX_ATTEMPTS = 8
 GRACE_S = 6.0
 START_S = 10.0
 REVOCATION_S = 5.0
@@ -252,7 +253,7 @@
                 "service": POOL,
                 "targetLatencyMs": 1000,
                 "priority": priority,
-                "maxAttempts": 8,
+                "maxAttempts": MAX_ATTEMPTS,
                 "stretch": 2.0,
                 "advice": {"decisionMs": 10, "perWorkerMs": 0.1, "validityMs": 2000},
             }
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -235,17 +235,36 @@
         timeout_s: float,
     ) -> WorkerAnswer:
         """Return the inventory after a wait for an end."""
-        self.looks += 1
         connected = self._connected_by_address.pop(worker.address, None)
         if acknowledged is not None and (connected is None or connected.dead):
             return WorkerAnswer(OrderOutcome.CONNECTION_CLOSED)
+        answer = await self.answer_poll(
+            worker, token, acknowledged or 0, lease_until_ms, wait_s, timeout_s
+        )
+        if answer.inventory is not None:
+            self._connected_by_address[worker.address] = self.workers_by_address[
+                worker.address
+            ]
+        return answer
+
+    async def answer_poll(
+        self,
+        worker: WorkerEntry,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> WorkerAnswer:
+        """Return the inventory to a poll that has arrived on any connection."""
+        self.looks += 1
         found = await self._reach(worker, timeout_s)
         if isinstance(found, WorkerAnswer):
             return found
         ends_at = self.now() + timeout_s
 
         def call(life: FakeWorker) -> OrderOutcome:
-            return self._poll(life, token, acknowledged or 0, lease_until_ms)
+            return self._poll(life, token, acknowledged, lease_until_ms)
 
         if self._happens(found.faults.late_polls):
             return await self._carry_out_late(found, call, timeout_s)
@@ -265,7 +284,6 @@
         if found.dead or found.faults.cut or lost:
             await asyncio.sleep(max(0.0, ends_at - self.now()))
             return WorkerAnswer(OrderOutcome.UNKNOWN)
-        self._connected_by_address[worker.address] = found
         return WorkerAnswer(OrderOutcome.DONE, self._inventory(found))
 
     def _happens(self, probability: float) -> bool:
