--- a/packages/wire/src/briarrun_wire/http_session.py
+++ b/packages/wire/src/briarrun_wire/http_session.py
@@ -26,7 +26,7 @@
         self._requests = 0
 
     @property
-    def closed(self) -> bool:
+    def unused(self) -> bool:
         """Whether there is neither an open connection nor a request."""
         return not self._requests and not self.connected
 
--- a/tests/cell/test_start_orders.py
+++ b/tests/cell/test_start_orders.py
@@ -13,7 +13,7 @@
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import WorkerEntry
-from briarrun_cell.orders import HolderTermGuard, OrderSender
+from briarrun_cell.orders import OrderSender
 from briarrun_cell.planner import Planner
 from briarrun_cell.ports import (
     AppendOutcome,
@@ -26,20 +26,7 @@
 from briarrun_cell.workers import RunState
 from tests.cell.rounds import ROUND_S, step_of
 from tests.cell.test_ledger import ManualClock, job, make_ledger, poll
-
-
-class _Holder(HolderTermGuard):
-    def is_holder(self) -> bool:
-        return True
-
-    def may_renew_leases(self) -> bool:
-        return True
-
-    def on_fenced(self) -> None:
-        raise AssertionError
-
-    def wake(self) -> None:
-        return
+from tests.cell.test_unsettled_starts import Guard
 
 
 class _Refusing(Workers):
@@ -64,7 +51,7 @@
     job(ledger, "j")
     (placement,) = Planner(ledger).plan().placements
     (run,) = placement.runs
-    sender = OrderSender(_Refusing(), ledger, ledger.clock, _Holder())
+    sender = OrderSender(_Refusing(), ledger, ledger.clock, Guard())
     await sender.start(run, placement.step)
     assert run.state is RunState.OVER and placement.step.pending == {0}
 
@@ -119,7 +106,7 @@
     ledger = make_ledger(workers=4)
     job(ledger, "j")
     planner = Planner(ledger)
-    sender = OrderSender(_Full(), ledger, ledger.clock, _Holder())
+    sender = OrderSender(_Full(), ledger, ledger.clock, Guard())
     assert isinstance(ledger.clock, ManualClock)
     for _ in range(round(3.0 / ROUND_S)):
         ledger.clock.time += ROUND_S
--- a/tests/test_http_session.py
+++ b/tests/test_http_session.py
@@ -48,7 +48,7 @@
     await session.request("POST", "/", timeout_s=1.0, connect=True)
     while session.connected:
         await asyncio.sleep(0.01)
-    assert session.closed
+    assert session.unused
     result = await session.request("POST", "/", timeout_s=1.0, connect=connect)
     assert result.is_ok() is connect
     assert connect or not result.error.sent
@@ -63,7 +63,7 @@
     await session.request("POST", "/", timeout_s=1.0, connect=True)
     assert session.connected
     async with asyncio.timeout(2.0):
-        while not session.closed:
+        while not session.unused:
             await asyncio.sleep(0.01)
 
 
