--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,75 +1,108 @@
-"""One job with a long schedule keeps all later jobs of the cell from starting."""
+"""VMs that replace those of one zone never again answer for the state of a job."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 import time
 from pathlib import Path
 
-from standins.cell import Cell, run_case
+from standins.cell import Cell, Vm, run_case
 
-HOUR_MS = 3_600_000
-HOURS_OF_A_YEAR = 8_760
-HOURS_OF_A_DAY = 24
+ZONE = "z1"
+VMS = 9
+JOBS = 6
+GONE_S = 2.0
+"""Time from the end of a machine to the start of the one that replaces it."""
+
+SETTLE_S = 6.0
+"""Time between replacements; over ``contactMs``, 4 s."""
 
-LATER_JOBS = 10
 FINISH_S = 14.0
 """``finish_s`` of the site."""
 
-
-def step(**fields: object) -> dict:
-    """Return a small step."""
-    return {"count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 500} | fields
-
-
-def hourly(hours: int) -> dict:
-    """Return a job of three steps that runs every hour, from now on."""
-    return {
-        "specification": "hourly report",
-        "steps": [step(), step(after=[0]), step(after=[1])],
-        "firstRunMs": time.time_ns() // 1_000_000 + 500,
-        "intervalMs": HOUR_MS,
-        "repetitions": hours,
-    }
+DEADLINE_S = 3.0
+"""Deadline of the clients' requests."""
+
+
+class DarkAddress:
+    """An address whose machine is gone: connections to it hang."""
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((ip, port))
+        self._listener.listen(0)
+        # Nobody accepts: once the queue is full, the kernel ignores new connections.
+        self._queued = []
+        for _ in range(4):
+            each = socket.socket()
+            each.setblocking(False)
+            each.connect_ex((ip, port))
+            self._queued.append(each)
+
+    def close(self) -> None:
+        """Free the address."""
+        for each in (*self._queued, self._listener):
+            each.close()
+
+
+async def ask(cell: Cell, job_id: str, vms: list[Vm]) -> bool:
+    """Ask for a job as a client of the zone does, until an answer comes or time is up."""
+    until = time.monotonic() + FINISH_S
+    tries = 0
+    while time.monotonic() < until:
+        vm = vms[tries % len(vms)]
+        tries += 1
+        answer = await cell.call("GET", job_id, vm=vm, timeout_s=DEADLINE_S)
+        if answer is not None and answer.status == 200:
+            return True
+        await asyncio.sleep(1.0)  # What Retry-After says.
+    return False
 
 
 async def case(cell: Cell, trouble: bool) -> bool:
-    """Hand in one scheduled job, then ordinary ones; return whether these are lost."""
-    simple = {"specification": "booking", "steps": [step(count=2)]}
-    assert await cell.submit("00000000000000aa", simple)
-    await asyncio.sleep(3.0)
-    assert await cell.state("00000000000000aa") == "completed"
-
-    hours = HOURS_OF_A_YEAR if trouble else HOURS_OF_A_DAY
-    if not await cell.submit("00000000000000bb", hourly(hours)):
-        cell.note("the scheduled job was not accepted, so nothing is owed for it")
-    await asyncio.sleep(3.0)
-
+    """Replace the VMs of a zone one by one; return whether jobs get no answer there."""
+    job = {
+        "specification": "booking",
+        "steps": [
+            {"count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 500}
+        ],
+    }
     accepted = []
-    for number in range(LATER_JOBS):
-        job_id = f"00000000000001{number:02x}"
-        if await cell.submit(job_id, simple):
+    for number in range(JOBS):
+        job_id = f"00000000000000{number:02x}"
+        if await cell.submit(job_id, job):
             accepted.append(job_id)
-        await asyncio.sleep(0.3)
-    await asyncio.sleep(FINISH_S)
-
-    lost = []
-    for job_id in accepted:
-        state = await cell.state(job_id)
-        started = any(task.startswith(job_id) for _, task, _, _ in cell.fleet.starts)
-        if not started and state not in ("completed", "failed"):
-            lost.append(job_id)
-    running = sum(len(worker.runs) for worker in cell.fleet.workers.values())
-    total = sum(worker.cores for worker in cell.fleet.workers.values())
-    cell.note(
-        f"{len(accepted)} later jobs accepted, {len(lost)} of them have had no task "
-        f"running since, {FINISH_S} s and more; {running} tasks run on workers with "
-        f"{total} millicores; largest refused record: "
-        f"{max(cell.store.refused_sizes, default=0)} bytes, "
-        f"{len(cell.store.refused_sizes)} times"
-    )
-    return bool(lost) and running == 0
-
-
-sys.exit(run_case(case, Path(__file__).parent))
+    live = [vm for vm in cell.vms.values() if vm.zone == ZONE]
+    dark = []
+    if trouble:
+        for vm in list(live):
+            await cell.kill(vm)
+            cell.note(f"{vm.name}: its machine is removed for good")
+            dark += [DarkAddress(vm.ip, port) for port in (vm.peer, vm.callers)]
+            del cell.vms[vm.name]
+            live.remove(vm)
+            await asyncio.sleep(GONE_S)
+            live.append(await cell.add_vm(ZONE))
+            await asyncio.sleep(SETTLE_S - GONE_S)
+    await asyncio.sleep(SETTLE_S)
+    for vm in live:
+        ready = await cell.is_ready(vm)
+        cell.note(f"{vm.name}: readiness is {ready}")
+
+    answered = {}
+    for job_id in accepted[:2]:
+        answered[job_id] = await ask(cell, job_id, live)
+    for vm in cell.vms.values():
+        if vm not in live:
+            await cell.call("GET", accepted[0], vm=vm)
+    for each in dark:
+        each.close()
+    lost = [job_id for job_id, known in answered.items() if not known]
+    cell.note(f"{len(answered)} jobs asked for in {ZONE}, no answer for {len(lost)}")
+    return bool(lost)
+
+
+sys.exit(run_case(case, Path(__file__).parent, vms=VMS))
--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -27,6 +27,7 @@
 HOST = "plans.example"
 ZONES = ("z1", "z2", "z3")
 READY_S = 20.0
+MAX_ADDED_VMS = 4
 
 # The bounds of the site file that claim.txt names.
 SETTINGS = """
@@ -91,8 +92,11 @@
 class Vm:
     """One entry VM and its process."""
 
-    def __init__(self, name: str, ip: str, ports: list[int], log: Path) -> None:
+    def __init__(
+        self, name: str, zone: str, ip: str, ports: list[int], log: Path
+    ) -> None:
         self.name = name
+        self.zone = zone
         self.ip = ip
         self.callers, self.ready, self.peer = ports
         self.log = log
@@ -115,6 +119,10 @@
         self.store = Store()
         self.fleet = Fleet(self.store, SERVICE, self.note)
         self.vms: dict[str, Vm] = {}
+        self._all_processes: list[asyncio.subprocess.Process] = []
+        self._network = ""
+        self._last_vm = 0
+        self._last_of_zone: dict[str, int] = {}
         self._advice = http1.Server(self._advise)
         self._counts = (vms, workers)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -136,27 +144,39 @@
             zone = ZONES[number % len(ZONES)]
             await self.fleet.add(f"i-{number:010x}", zone, f"r1-{number // 8}")
         self.fleet.start_beats()
-        network = _free_network(vms)
-        for number in range(vms):
-            ports = [_free_port(f"{network}.{number + 1}") for _ in range(3)]
-            name = f"frontend-{ZONES[number % len(ZONES)]}-{number + 1}"
-            log = Path(self._temporary.name) / f"{name}.log"
-            self.vms[name] = Vm(name, f"{network}.{number + 1}", ports, log)
-        for number, vm in enumerate(self.vms.values()):
-            await self.start_vm(vm, ZONES[number % len(ZONES)], bootstrap=True)
+        self._network = _free_network(vms + MAX_ADDED_VMS)
+        started = [self._new_vm(ZONES[each % len(ZONES)]) for each in range(vms)]
+        for vm in started:
+            await self.start_vm(vm, bootstrap=True)
         async with asyncio.timeout(READY_S):
-            for vm in self.vms.values():
-                while not await self._is_ready(vm):
+            for vm in started:
+                while not await self.is_ready(vm):
                     await asyncio.sleep(0.1)
         self.note("all VMs are ready")
 
-    async def start_vm(self, vm: Vm, zone: str = "z1", bootstrap: bool = False) -> None:
+    def _new_vm(self, zone: str) -> Vm:
+        self._last_vm += 1
+        ip = f"{self._network}.{self._last_vm}"
+        ports = [_free_port(ip) for _ in range(3)]
+        self._last_of_zone[zone] = self._last_of_zone.get(zone, 0) + 1
+        name = f"frontend-{zone}-{self._last_of_zone[zone]}"
+        log = Path(self._temporary.name) / f"{name}.log"
+        vm = self.vms[name] = Vm(name, zone, ip, ports, log)
+        return vm
+
+    async def add_vm(self, zone: str) -> Vm:
+        """Start the process of a further VM."""
+        vm = self._new_vm(zone)
+        await self.start_vm(vm)
+        return vm
+
+    async def start_vm(self, vm: Vm, bootstrap: bool = False) -> None:
         """Start the process of a VM with the command of the deploy file."""
         vm.settings.write_text(
             SETTINGS.format(
                 name=vm.name,
                 ip=vm.ip,
-                zone=zone,
+                zone=vm.zone,
                 peer=vm.peer,
                 callers=vm.callers,
                 ready=vm.ready,
@@ -173,9 +193,11 @@
             vm.process = await asyncio.create_subprocess_exec(
                 *self._command, stdout=stream, stderr=stream, env=env, cwd=ROOT
             )
+        self._all_processes.append(vm.process)
         self.note(f"{vm.name}: process started")
 
-    async def _is_ready(self, vm: Vm) -> bool:
+    async def is_ready(self, vm: Vm) -> bool:
+        """Return whether the readiness probe of a VM succeeds."""
         answer = await http1.call(f"{vm.ip}:{vm.ready}", "GET", "/-/readiness")
         return answer is not None and answer.status == 200
 
@@ -229,13 +251,23 @@
     # Clients
 
     async def call(
-        self, method: str, job_id: str, content: object = None, vm: Vm | None = None
+        self,
+        method: str,
+        job_id: str,
+        content: object = None,
+        vm: Vm | None = None,
+        timeout_s: float = 3.0,
     ) -> http1.Response | None:
         """Send one client's call to a VM, as the platform would choose one."""
         chosen = vm or random.choice(list(self.vms.values()))
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
         answer = await http1.call(
-            chosen.address, method, PREFIX + job_id, headers=headers, content=content
+            chosen.address,
+            method,
+            PREFIX + job_id,
+            headers=headers,
+            content=content,
+            timeout_s=timeout_s,
         )
         seen = "no answer"
         if answer is not None:
@@ -267,11 +299,10 @@
 
     async def stop(self) -> None:
         """End all processes that this cell started."""
-        processes = [vm.process for vm in self.vms.values() if vm.process is not None]
-        for process in processes:
+        for process in self._all_processes:
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
-        for process in processes:
+        for process in self._all_processes:
             await process.wait()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
@@ -307,12 +338,14 @@
     raise OSError("no loopback network is free")
 
 
-def run_case(case: Callable[[Cell, bool], Awaitable[bool]], folder: Path) -> int:
+def run_case(
+    case: Callable[[Cell, bool], Awaitable[bool]], folder: Path, vms: int = 3
+) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> int:
-        cell = Cell(folder)
+        cell = Cell(folder, vms)
         try:
             async with asyncio.timeout(115):
                 await cell.start()
