--- a/review/1/run.py
+++ b/review/1/run.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
 import time
 from pathlib import Path
 
 from standins.cell import Cell, Vm, run_case
+from standins.dark import DarkAddress
 
 ZONE = "z1"
 VMS = 9
@@ -26,28 +26,6 @@
 """Deadline of the clients' requests."""
 
 
-class DarkAddress:
-    """An address whose machine is gone: connections to it hang."""
-
-    def __init__(self, ip: str, port: int) -> None:
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((ip, port))
-        self._listener.listen(0)
-        # Nobody accepts: once the queue is full, the kernel ignores new connections.
-        self._queued = []
-        for _ in range(4):
-            each = socket.socket()
-            each.setblocking(False)
-            each.connect_ex((ip, port))
-            self._queued.append(each)
-
-    def close(self) -> None:
-        """Free the address."""
-        for each in (*self._queued, self._listener):
-            each.close()
-
-
 async def ask(cell: Cell, job_id: str, vms: list[Vm]) -> bool:
     """Ask for a job as a client of the zone does, until an answer comes or time is up."""
     until = time.monotonic() + FINISH_S
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -63,4 +63,4 @@
     return bool(cell.fleet.doubles)
 
 
-sys.exit(run_case(case, Path(__file__).parent))
+sys.exit(run_case(case, Path(__file__).parent, workers=16))
--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -339,13 +339,16 @@
 
 
 def run_case(
-    case: Callable[[Cell, bool], Awaitable[bool]], folder: Path, vms: int = 3
+    case: Callable[[Cell, bool], Awaitable[bool]],
+    folder: Path,
+    vms: int = 3,
+    workers: int = 6,
 ) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> int:
-        cell = Cell(folder, vms)
+        cell = Cell(folder, vms, workers)
         try:
             async with asyncio.timeout(115):
                 await cell.start()
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -23,6 +23,9 @@
 STOP_S = 0.3
 """Time that a stop takes; at most ``stopTimeoutMs``."""
 
+FIRST_BEAT_S = 0.3
+"""Time from the start of a further life, which listens, to its first entry."""
+
 MAX_LISTED_ENDS = 500
 
 
@@ -143,7 +146,10 @@
         self._begin_life(0.5)
         self.state = "ready"
         self.sequence = 0
+        self.reaches_store = False
         await self.server.start()
+        await asyncio.sleep(FIRST_BEAT_S)
+        self.reaches_store = True
         self.beat()
 
     # Calls
@@ -158,7 +164,11 @@
         if request.path == "/-/run-start":
             if self.late_start_s is not None:
                 delay_s, self.late_start_s = self.late_start_s, None
-                self.fleet.note(f"{self.name}: {body['task']} waits {delay_s} s")
+                self.fleet.late_at = time.monotonic()
+                self.fleet.note(
+                    f"{self.name}: the start order of {body['task']} run {body['run']} "
+                    f"gets no answer and waits for {delay_s} s"
+                )
                 asyncio.get_running_loop().call_later(delay_s, self._late, body)
                 await asyncio.sleep(30.0)
                 return None
@@ -293,6 +303,7 @@
         self.doubles: list[str] = []
         self.done: set[str] = set()
         self.noted: set[str] = set()
+        self.late_at: float | None = None
         self._beats: asyncio.Task | None = None
 
     async def add(self, name: str, zone: str, rack: str) -> Worker:
