--- a/review/1/run.py
+++ b/review/1/run.py
@@ -50,7 +50,7 @@
     }
     accepted = []
     for number in range(JOBS):
-        job_id = f"00000000000000{number:02x}"
+        job_id = f"0000000000000{number:02x}a"
         if await cell.submit(job_id, job):
             accepted.append(job_id)
     live = [vm for vm in cell.vms.values() if vm.zone == ZONE]
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -15,8 +15,8 @@
 CUT_AFTER_S = 0.5
 """Time from the notice of leaving to the cut."""
 
-CUT_S = 5.5
-"""Length of the cut, as of ``node_cut`` with ``servers`` in the site file."""
+CUT_S = 5.0
+"""Length of the cut; ``node_cut`` with ``servers`` has 5.5 in the site file."""
 
 STAYS_S = 9.0
 """Time from the notice after which the worker exits: over ``drainMs``, 2.5 s."""
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -48,7 +48,7 @@
 
     accepted = []
     for number in range(LATER_JOBS):
-        job_id = f"00000000000001{number:02x}"
+        job_id = f"000000000001{number:02x}aa"
         if await cell.submit(job_id, simple):
             accepted.append(job_id)
         await asyncio.sleep(0.3)
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -20,6 +20,9 @@
 MAX_HOLD_MS = 6000
 """``maxHoldMs`` of the settings."""
 
+DRAIN_S = 2.5
+"""``drainMs`` of the settings, in seconds: least time from the notice of leaving."""
+
 STOP_S = 0.3
 """Time that a stop takes; at most ``stopTimeoutMs``."""
 
@@ -64,6 +67,7 @@
     lease_ms: int = 0
     clock_from: float = 0.0
     late_start_s: float | None = None
+    draining_from: float = 0.0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     ends: list[list] = field(default_factory=list)
     highest: dict[str, int] = field(default_factory=dict)
@@ -113,13 +117,15 @@
             "born": self.born_ms,
         }
         if self.state == "draining":
-            entry["remainingMs"] = 2500
+            gone_s = time.monotonic() - self.draining_from
+            entry["remainingMs"] = max(0, int((DRAIN_S - gone_s) * 1000))
         value = json.dumps(entry).encode()
         self.fleet.store.put("keyed.servers", self.name, value)
 
     def drain(self) -> None:
         """Announce that the worker is going to leave."""
         self.state = "draining"
+        self.draining_from = time.monotonic()
         self.beat()
 
     # Ends of lives
