Let VMs renew their entries, and leave out those that are gone

Cause: an entry in the list of VMs was written once and never left. VMs that were gone stayed chosen as replicas, their successors became none, and a VM asked only the nearest three, which were all gone; a pause of 1 s after a failure is shorter than three time-outs.

The emulated cell could not remove a VM for good and now can.

Ruled out: the store, the holder and the other zones answer at once; readiness is right, since the new VMs read the configuration.

Roles are reviewed when the list changes. A failed replica is asked last for longer with each failure, connections are given up after 0.25 s, and a VM whose last question failed probes the replicas.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -15,7 +15,7 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
 from briarrun_cell.election import MAX_CLAIM_AGE_S, Election
-from briarrun_cell.entry_vms import EntryVm, EntryVmTable
+from briarrun_cell.entry_vms import EntryVm, EntryVmTable, renewal_interval_s
 from briarrun_cell.explanation import JobExplanation
 from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
@@ -46,6 +46,9 @@
 RARE_TOPIC_WAIT_S = 5.0
 """Long-poll time of a read of a topic that changes rarely."""
 
+VMS_READ_PAUSE_S = 1.5
+"""Pause between reads of the list of VMs."""
+
 JOBS_READ_PAUSE_S = 0.7
 """Pause between reads of the job stream on a VM that is not the holder. A request for
 the state of an unfinished job ends the pause."""
@@ -76,7 +79,7 @@
 """Maximum wait for the VMs and the claims before a VM chooses its role."""
 
 ROLE_REVIEW_S = 0.2
-"""Interval at which a VM that is no replica checks whether the cell has a holder."""
+"""Interval at which a VM that is no replica checks whether it is to become one."""
 
 MAX_UNSERVED_S = 5.0
 """Time without a holder, or without answers of replicas, after which another VM follows
@@ -94,6 +97,13 @@
 REGISTER_RETRY_S = 0.3
 """Pause before a failed registration or background task is repeated."""
 
+RENEWAL_RETRY_S = 1.0
+"""Pause before a failed renewal of the entry of this VM is repeated."""
+
+RENEWAL_JITTER = 0.1
+"""Fraction by which the interval between renewals varies, so that VMs which started
+together spread their writes."""
+
 ROUND_TRIP_DELAY_FACTOR = 8.0
 """Multiple of the round trip to the store by which a candidate delays its claim, so
 that a VM near the store takes over."""
@@ -174,7 +184,12 @@
             read_pause_s=JOBS_READ_PAUSE_S,
         )
         self._vms_tail = TopicTail(
-            store, Topic.VMS, self._vms, clock, wait_s=RARE_TOPIC_WAIT_S
+            store,
+            Topic.VMS,
+            self._vms,
+            clock,
+            wait_s=RARE_TOPIC_WAIT_S,
+            read_pause_s=VMS_READ_PAUSE_S,
         )
         self._registry_tail = TopicTail(
             store,
@@ -254,16 +269,23 @@
         """Store a record that another VM has accepted."""
         return await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
 
+    @property
+    def vms_by_name(self) -> dict[str, EntryVm]:
+        """VMs of the cell that renew their entries, as far as this one knows."""
+        return self._vms.by_name
+
     def _job_view_is_fresh(self) -> bool:
         return self._jobs_tail.age_s() <= READY_VIEW_AGE_S
 
     async def _confirm_claims(self) -> None:
         await self._claims_tail.refresh(CLAIMS_REFRESH_TIMEOUT_S)
 
-    def _on_vms(self, vms: int) -> None:
-        read_pause_s = min(MAX_CLAIMS_READ_PAUSE_S, CLAIMS_READ_PAUSE_PER_VM_S * vms)
-        self._claims_tail.read_pause_s = read_pause_s
-        replicas = choose_replicas(self._vms.by_name.values())
+    def _on_vms(self) -> None:
+        vms = self._vms.by_name
+        self._claims_tail.read_pause_s = min(
+            MAX_CLAIMS_READ_PAUSE_S, CLAIMS_READ_PAUSE_PER_VM_S * len(vms)
+        )
+        replicas = choose_replicas(vms.values())
         self._nearest_replicas = nearest_first(self._own_entry(), replicas)
 
     # Replicas
@@ -281,11 +303,11 @@
 
     def _advice_vms(self) -> list[EntryVm]:
         """Return the VMs through which advice can be requested, this one first."""
-        own = self._settings.vm
-        region = self._settings.region
+        own = self._own_entry()
+        known = {**self._vms.by_name, own.vm: own}
         return sorted(
-            self._vms.by_name.values(),
-            key=lambda vm: (vm.vm != own, vm.region != region, vm.vm),
+            known.values(),
+            key=lambda vm: (vm.vm != own.vm, vm.region != own.region, vm.vm),
         )
 
     @property
@@ -342,22 +364,31 @@
         except TimeoutError:
             _LOG.warning("VMs and claims could not be read before the jobs")
         if not registered_before and not self.election.held_last:
-            await self._wait_for_first_registrations()
-        chosen = is_replica(self._own_entry(), self._vms.by_name.values())
-        if chosen or self.election.held_last:
+            with self._vms_tail.followed():
+                await self._wait_for_first_registrations()
+        if self._is_chosen() or self.election.held_last:
             self._is_replica.set()
             return
         _LOG.info("asking replicas for jobs", vms=len(self._vms.by_name))
+        reason = await self._wait_for_promotion()
+        _LOG.warning(
+            "following the job stream", reason=reason, unheld_s=self.election.unheld_s()
+        )
+        self._is_replica.set()
+
+    def _is_chosen(self) -> bool:
+        return is_replica(self._own_entry(), self._vms.by_name.values())
+
+    async def _wait_for_promotion(self) -> str:
+        """Wait until this VM is to become a replica, and return the reason."""
         served_at = self._clock.now()
         while self._clock.now() < served_at + MAX_UNSERVED_S:
             await asyncio.sleep(ROLE_REVIEW_S)
-            if self.frontend.store_is_unreachable or self._replicas_serve():
+            if self._is_chosen():
+                return "other replicas are gone"
+            if self.frontend.store_is_unreachable or await self._replicas_serve():
                 served_at = self._clock.now()
-        _LOG.warning(
-            "following the job stream, since no replica serves the cell",
-            unheld_s=self.election.unheld_s(),
-        )
-        self._is_replica.set()
+        return "no replica serves the cell"
 
     async def _wait_for_first_registrations(self) -> None:
         """Wait until this VM is listed and the list has not grown for a while.
@@ -375,10 +406,10 @@
                 return
             await asyncio.sleep(REGISTRATIONS_REVIEW_S)
 
-    def _replicas_serve(self) -> bool:
+    async def _replicas_serve(self) -> bool:
         """Return whether the cell has a holder and replicas answer questions."""
         held = self.election.unheld_s() <= MAX_CLAIM_AGE_S
-        return held and not self._peer_view.failed_since(ROLE_REVIEW_S)
+        return held and await self._peer_view.serves()
 
     def _own_entry(self) -> EntryVm:
         return EntryVm(
@@ -387,22 +418,31 @@
             failure_domain=self._settings.failure_domain,
             region=self._settings.region,
             cores=self._settings.cores,
+            renewed_every_s=renewal_interval_s(len(self._vms.by_name)),
         )
 
     async def _register(self) -> None:
-        """Publish the peer address of this VM in the store.
+        """Publish the entry of this VM in the store, and renew it regularly.
 
         Waits for the list of VMs, which shows whether this is the first registration.
+        The holder also removes the entries of VMs that are gone.
         """
         await self._vms_tail.wait_for_offset(0)
-        entry = self._own_entry()
-        record = Record(entry.vm, msgspec.json.encode(entry))
+        rng = random.Random(self.incarnation)
+        retry_s = REGISTER_RETRY_S
         while True:
+            entry = self._own_entry()
+            batch = [Record(entry.vm, msgspec.json.encode(entry))]
+            if self.election.is_holder:
+                batch += [Record(name, None) for name in sorted(self._vms.gone)]
             sent_at = self._clock.now()
-            result = await self._store.append(Topic.VMS, [record], timeout_s=1.0)
+            result = await self._store.append(Topic.VMS, batch, timeout_s=1.0)
             if result.outcome is AppendOutcome.DONE:
-                return
-            await asyncio.sleep(REGISTER_RETRY_S)
+                retry_s = RENEWAL_RETRY_S
+                jitter = rng.uniform(1 - RENEWAL_JITTER, 1 + RENEWAL_JITTER)
+                await asyncio.sleep(entry.renewed_every_s * jitter)
+                continue
+            await asyncio.sleep(retry_s)
             _LOG.warning(
                 "registration of this VM failed",
                 outcome=result.outcome,
--- a/packages/cell/src/briarrun_cell/job_view.py
+++ b/packages/cell/src/briarrun_cell/job_view.py
@@ -25,11 +25,22 @@
 PEER_TIMEOUT_S = 0.6
 """Timeout of a question to a replica, which may wait for the outcome of the job."""
 
-MAX_PEERS_ASKED = 3
-"""Maximum number of replicas that are asked one after the other."""
+CONNECT_TIMEOUT_S = 0.25
+"""Time after which a question is no longer sent if a replica cannot be connected to."""
 
-PEER_PAUSE_S = 1.0
-"""Time for which a replica is asked last after it did not answer."""
+MAX_ASKING_S = 1.5
+"""Time after which no further replica is asked for the same request, whose caller waits
+a few seconds."""
+
+MIN_PEER_PAUSE_S = 2.0
+"""Time for which a replica is asked last after it did not answer; it doubles with each
+further failure."""
+
+MAX_PEER_PAUSE_S = 60.0
+"""Maximum time for which a replica is asked last."""
+
+PROBE_QUEUE = ""
+"""Name of no queue, for questions that only show whether replicas answer."""
 
 _Answer = TypeVar("_Answer")
 
@@ -128,6 +139,14 @@
         """Return the number of waiting jobs of a queue as a replica knows it."""
 
 
+@dataclass(slots=True)
+class _Pause:
+    """Time for which a replica is asked last, after failures without an answer between."""
+
+    until: float
+    duration_s: float
+
+
 class PeerJobView(JobView):
     """View of a VM that follows no job stream and asks the nearest replicas.
 
@@ -143,12 +162,14 @@
         self._client = client
         self._replicas = replicas
         self._clock = clock
-        self._failed_at = float("-inf")
-        self._paused_until_by_vm: dict[str, float] = {}
+        self._last_failed = False
+        self._pause_by_vm: dict[str, _Pause] = {}
 
-    def failed_since(self, seconds: float) -> bool:
-        """Return whether no replica could answer a question in the last seconds."""
-        return self._clock.now() <= self._failed_at + seconds
+    async def serves(self) -> bool:
+        """Return whether replicas answer; asks them if the last request got no answer."""
+        if self._last_failed:
+            await self.count_waiting(PROBE_QUEUE)
+        return not self._last_failed
 
     def known_state(self, job_id: str) -> JobState | None:
         """Return None, since this VM knows no jobs."""
@@ -178,25 +199,43 @@
         usable: Callable[[_Answer], bool],
     ) -> _Answer | None:
         """Return the first usable answer of a replica, or None."""
+        give_up_at = self._clock.now() + MAX_ASKING_S
         for vm in self._candidates():
+            if self._clock.now() >= give_up_at:
+                break
             try:
                 answer = await ask(vm)
             except PeerUnavailable as error:
                 self._pause(vm, error)
                 continue
+            self._pause_by_vm.pop(vm.vm, None)
             if usable(answer):
+                self._last_failed = False
                 return answer
-        self._failed_at = self._clock.now()
+        self._last_failed = True
         return None
 
     def _candidates(self) -> list[EntryVm]:
+        """Return the replicas in their order, followed by those that failed lately."""
         now = self._clock.now()
-        replicas = sorted(
-            self._replicas(),
-            key=lambda vm: self._paused_until_by_vm.get(vm.vm, now) > now,
-        )
-        return replicas[:MAX_PEERS_ASKED]
+        replicas = self._replicas()
+        names = {vm.vm for vm in replicas}
+        for name in self._pause_by_vm.keys() - names:
+            del self._pause_by_vm[name]
+        paused_until = {
+            name: pause.until
+            for name, pause in self._pause_by_vm.items()
+            if pause.until > now
+        }
+        return sorted(replicas, key=lambda vm: paused_until.get(vm.vm, 0.0))
 
     def _pause(self, vm: EntryVm, error: PeerUnavailable) -> None:
-        self._paused_until_by_vm[vm.vm] = self._clock.now() + PEER_PAUSE_S
+        now = self._clock.now()
+        last = self._pause_by_vm.get(vm.vm)
+        if last is None:
+            self._pause_by_vm[vm.vm] = _Pause(now + MIN_PEER_PAUSE_S, MIN_PEER_PAUSE_S)
+        elif now >= last.until:
+            # Requests that failed at the same time count as one failure.
+            last.duration_s = min(2 * last.duration_s, MAX_PEER_PAUSE_S)
+            last.until = now + last.duration_s
         _LOG.warning("a replica did not answer", replica=vm.vm, detail=str(error))
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -10,6 +10,7 @@
 from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.job_view import (
+    CONNECT_TIMEOUT_S,
     CountAnswer,
     JobAnswer,
     JobView,
@@ -276,7 +277,13 @@
         self, vm: EntryVm, path: str, body: bytes, timeout_s: float
     ) -> bytes:
         result = await self._pool.request(
-            vm.address, "POST", path, body=body, idempotent=True, timeout_s=timeout_s
+            vm.address,
+            "POST",
+            path,
+            body=body,
+            idempotent=True,
+            timeout_s=timeout_s,
+            send_within_s=CONNECT_TIMEOUT_S,
         )
         if result.is_error():
             self._pool.close_idle_connections(vm.address)
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -111,12 +111,16 @@
 
 @dataclass(eq=False)
 class CellVm:
-    """Hold one VM and its current process, if it runs."""
+    """Hold one VM and its current process, if it runs.
+
+    Calls to a VM that is ``removed`` get no answer, not even a refusal.
+    """
 
     name: str
     store: StoreView
     advisor: FakeAdvisor
     core: CellCore | None = None
+    removed: bool = False
 
 
 @dataclass
@@ -284,6 +288,11 @@
             vm.core.close()
             vm.core = None
 
+    def remove_vm(self, name: str) -> None:
+        """Take a VM away for good, without notice."""
+        self.kill_vm(name)
+        self.vms_by_name[name].removed = True
+
     def holder(self) -> CellVm | None:
         """Return the VM that may act now."""
         for vm in self.vms_by_name.values():
--- a/tools/emulator/cell/peers.py
+++ b/tools/emulator/cell/peers.py
@@ -89,7 +89,7 @@
         self, vm: EntryVm, job_id: str, wait_for_outcome: bool, timeout_s: float
     ) -> JobAnswer:
         """Return the state as the replica knows it."""
-        view = await self._reach(vm)
+        view = await self._reach(vm, timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
                 return await view.state(job_id, wait_for_outcome=wait_for_outcome)
@@ -98,12 +98,14 @@
 
     async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
         """Return the count as the replica knows it."""
-        return await (await self._reach(vm)).count_waiting(queue)
+        return await (await self._reach(vm, timeout_s)).count_waiting(queue)
 
-    async def _reach(self, vm: EntryVm) -> LocalJobView:
+    async def _reach(self, vm: EntryVm, timeout_s: float) -> LocalJobView:
         await self._sender.store.running.wait()
         await asyncio.sleep(RELAY_LATENCY_S)
         peer = self._cell.vms_by_name[vm.vm]
+        if peer.removed:
+            await asyncio.sleep(timeout_s)
         if peer.core is None or not peer.store.running.is_set():
             raise PeerUnavailable(f"{vm.vm} is down")
         return peer.core.local_view
