Wait for the leases of a leaving worker that refuses connections

Cause: the poller took three signs together for the end of a process: it drains, its entry is gone, its address refuses connections. A worker that runs behind such a cut shows all three, as its entry expires after three silent heartbeats. Only what a worker or its next life says, or the end of its leases, ends its runs.

Ruled out: a late order (none in the record), a new holder (one epoch).

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -295,11 +295,6 @@
         if answer.outcome is OrderOutcome.FENCED:
             self._guard.on_fenced()
             return False
-        left = worker.entry.draining and not worker.registered
-        if left and answer.outcome is OrderOutcome.CONNECTION_REFUSED:
-            ledger.on_worker_dead(worker, "it drained and left")
-            self._guard.wake()
-            return False
         if answer.outcome is OrderOutcome.WRONG_INCARNATION:
             ledger.on_worker_dead(worker, "another life answered")
             self._guard.wake()
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -124,9 +124,11 @@
     After ``UNKNOWN`` the order may still take effect. After any other failure it has
     certainly not been carried out, but an earlier order of the same run may have been.
     After ``SUPERSEDED`` this run, or a later one of its task, has ended on the worker.
-    ``CONNECTION_REFUSED`` means that no process listens at the worker's address, while
-    behind ``UNREACHABLE`` the worker may run on. ``CONNECTION_CLOSED`` is the outcome of a
-    poll that was not sent, since it was to continue on a connection that is closed.
+    After ``CONNECTION_REFUSED`` and ``UNREACHABLE`` nothing was sent, but the worker may run
+    on, e.g. behind a firewall that rejects connections. ``WRONG_INCARNATION`` is what another
+    worker answers that now has the address, so that the intended one has ended.
+    ``CONNECTION_CLOSED`` is the outcome of a poll that was not sent, since it was to continue
+    on a connection that is closed.
     """
 
     DONE = "done"
--- a/tests/cell/test_run_once.py
+++ b/tests/cell/test_run_once.py
@@ -13,7 +13,7 @@
 from briarrun_core.resources import Resources
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
-from tools.emulator.cell.fleet import FakeWorker
+from tools.emulator.cell.fleet import FakeWorker, WorkerFaults
 
 pytestmark = pytest.mark.looptime
 
@@ -200,11 +200,12 @@
 @pytest.mark.parametrize("run_ms", [700, 2_500])
 @pytest.mark.parametrize("cut_s", [0.6, 1.5, 3.0])
 @pytest.mark.parametrize("returns", [False, True], ids=["expired", "registers again"])
+@pytest.mark.parametrize("refuses", [False, True], ids=["silent", "refuses"])
 @with_cell()
 async def test_tasks_of_a_draining_worker_that_is_cut_off_run_nowhere_else(
-    cell: FakeCell, run_ms: int, cut_s: float, returns: bool
+    cell: FakeCell, run_ms: int, cut_s: float, returns: bool, refuses: bool
 ) -> None:
-    """Guards against a time-out that is taken for the end of a process (TWICE)."""
+    """Guards against a cut that is taken for the end of a process (TWICE)."""
     spec = await _submit(cell, step(8, run_ms))
     while cell.fleet.starts < 8:
         await asyncio.sleep(0.01)
@@ -212,7 +213,7 @@
     entry = replace(leaving.entry, draining=True)
     cell.register(entry)
     await asyncio.sleep(0.1)
-    leaving.faults.cut = True
+    leaving.faults = WorkerFaults(cut=True, cut_refuses=refuses)
     cell.store.put(Topic.WORKERS, entry.worker_id, None)
     await asyncio.sleep(cut_s)
     leaving.faults.cut = False
--- a/tests/cell/test_worker_lives.py
+++ b/tests/cell/test_worker_lives.py
@@ -63,21 +63,21 @@
 
 
 @pytest.mark.parametrize(
-    ("outcome", "ended"),
+    "outcome",
     [
-        (OrderOutcome.UNREACHABLE, False),
-        (OrderOutcome.UNKNOWN, False),
-        (OrderOutcome.BUSY, False),
-        (OrderOutcome.CONNECTION_REFUSED, True),
+        OrderOutcome.UNREACHABLE,
+        OrderOutcome.UNKNOWN,
+        OrderOutcome.BUSY,
+        OrderOutcome.CONNECTION_REFUSED,
     ],
 )
 @pytest.mark.parametrize("left", [False, True], ids=["registered", "left"])
 async def test_draining_worker_that_is_cut_off_keeps_its_runs(
-    outcome: OrderOutcome, ended: bool, left: bool
+    outcome: OrderOutcome, left: bool
 ) -> None:
     """Guards against a task that runs twice since its worker was cut off while draining.
 
-    Its entry expires although the process goes on.
+    Its entry expires although the process goes on, and the cut may refuse connections.
     """
     ledger = make_ledger(workers=1)
     job(ledger, "j")
@@ -87,7 +87,7 @@
     if left:
         ledger.set_workers([], [])
     await _poll(ledger, run.worker, [WorkerAnswer(outcome)])
-    assert (run.state is RunState.OVER) is (left and ended)
+    assert run.state is not RunState.OVER
 
 
 @pytest.mark.parametrize("lists_all_ends", [False, True])
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -42,10 +42,12 @@
     """Switch faults of one worker; shares are probabilities.
 
     A lost answer hides a call that is carried out at once. A late call has no answer
-    and is carried out ``late_s`` later, by the life that then listens.
+    and is carried out ``late_s`` later, by the life that then listens. A cut is silent
+    unless ``cut_refuses`` connections.
     """
 
     cut: bool = False
+    cut_refuses: bool = False
     late_orders: float = 0.0
     late_polls: float = 0.0
     late_s: float = 3.0
@@ -323,6 +325,8 @@
     ) -> FakeWorker | WorkerAnswer:
         await asyncio.sleep(ORDER_LATENCY_S)
         found = self.workers_by_address.get(entry.address)
+        if found is not None and found.faults.cut and found.faults.cut_refuses:
+            return self._refused()
         if found is not None and found.dead and found.refuses and not found.faults.cut:
             return self._refused()
         if found is None or found.dead or found.faults.cut:
