Set aside a record that the store rejects, and store the others

Callers whose submissions shared a batch with one too large were told to come back, again and again.

Cause: an append that the store will never take counted as one that may succeed later. The holder has one append under way for the whole cell, and a front end one batch.

A batch that is rejected is halved until the record is found; its job fails with a log line, and a caller gets 400. Batches respect the size of a call. The emulated store rejects by the same rules.

--- a/packages/cell/src/briarrun_cell/fenced.py
+++ b/packages/cell/src/briarrun_cell/fenced.py
@@ -6,7 +6,14 @@
 from collections.abc import Callable, Sequence
 
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.ports import AppendOutcome, ProducerSequence, Record, Store, Topic
+from briarrun_cell.ports import (
+    AppendOutcome,
+    AppendResult,
+    ProducerSequence,
+    Record,
+    Store,
+    Topic,
+)
 
 PRODUCER = "holder"
 """Producer name of all holders. The store rejects appends of a lower epoch than the
@@ -25,7 +32,7 @@
 
 
 class FencedTopic:
-    """Appends batches in order, retrying each until it is stored."""
+    """Appends batches in order, retrying each until the store has taken or rejected it."""
 
     def __init__(
         self, store: Store, topic: Topic, epoch: int, on_fenced: Callable[[], None]
@@ -38,32 +45,41 @@
 
     async def fence(self) -> int:
         """Fence off earlier holders and return the end offset of the topic."""
-        return await self._append_until_stored([])
+        return (await self._append_until_settled([])).end
 
-    async def append(self, batch: Sequence[Record]) -> None:
-        """Store a batch; do nothing if it is empty."""
-        if batch:
-            await self._append_until_stored(batch)
-            self._sequence += 1
+    async def append(self, batch: Sequence[Record]) -> bool:
+        """Store a batch, and return False if the store will never take it."""
+        if not batch:
+            return True
+        result = await self._append_until_settled(batch)
+        if result.outcome is AppendOutcome.INVALID:
+            return False
+        self._sequence += 1
+        return True
 
-    async def _append_until_stored(self, batch: Sequence[Record]) -> int:
+    async def _append_until_settled(self, batch: Sequence[Record]) -> AppendResult:
         pause_s = RETRY_S
         while True:
-            end = await self._append(batch)
-            if end is not None:
-                return end
+            result = await self._append(batch)
+            if result.outcome is AppendOutcome.DONE:
+                return result
+            if result.outcome is AppendOutcome.INVALID and batch:
+                return result
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_RETRY_S)
 
-    async def _append(self, batch: Sequence[Record]) -> int | None:
-        result = await self._store.append(
-            self._topic,
-            batch,
-            timeout_s=APPEND_TIMEOUT_S,
-            producer=ProducerSequence(PRODUCER, self._epoch, self._sequence),
-        )
+    async def _append(self, batch: Sequence[Record]) -> AppendResult:
+        try:
+            result = await self._store.append(
+                self._topic,
+                batch,
+                timeout_s=APPEND_TIMEOUT_S,
+                producer=ProducerSequence(PRODUCER, self._epoch, self._sequence),
+            )
+        except Exception as error:  # The append may have been sent; it is repeated.
+            result = AppendResult(AppendOutcome.UNKNOWN, detail=repr(error))
         if result.outcome is AppendOutcome.DONE:
-            return result.end
+            return result
         if result.outcome is AppendOutcome.FENCED:
             self._on_fenced()
             await asyncio.Future()  # The session has ended and cancels this task.
@@ -74,4 +90,4 @@
             detail=result.detail,
             records=len(batch),
         )
-        return None
+        return result
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -184,6 +184,9 @@
             outcome = await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
         if outcome is WriteOutcome.STORED:
             return Reply(RequestOutcome.ACCEPTED)
+        if outcome is WriteOutcome.REJECTED:
+            detail = f"the store rejects a record of {record.size} bytes"
+            return Reply(RequestOutcome.INVALID, detail=detail)
         if outcome is not WriteOutcome.UNKNOWN:
             refused = outcome is WriteOutcome.NOT_STORED
             return Reply(
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from briarrun_cell import records
+from briarrun_cell.batches import halves, take_batch
 from briarrun_cell.clock import Clock
 from briarrun_cell.fenced import APPEND_TIMEOUT_S, FencedTopic
 from briarrun_cell.job_table import JobTable
@@ -119,16 +120,52 @@
         job_ids = self._pass.job_ids[:MAX_BATCH_JOBS]
         del self._pass.job_ids[:MAX_BATCH_JOBS]
         ledger.dirty.difference_update(job_ids)
-        await self._jobs.append(
-            [
-                records.progress_record(job_id, ledger.jobs_by_id[job_id].progress)
-                for job_id in job_ids
-                if job_id in ledger.jobs_by_id
-            ]
-        )
+        encoded = [
+            record
+            for job_id in job_ids
+            if (record := self._progress_record(job_id)) is not None
+        ]
+        while encoded:
+            limit = self._store.limits.append_bytes
+            batch = take_batch(
+                encoded, lambda record: record.size, limit, MAX_BATCH_JOBS
+            )
+            del encoded[: len(batch)]
+            await self._append(batch)
         if not self._pass.job_ids:
             self._end_pass(self._pass)
 
+    def _progress_record(self, job_id: str) -> Record | None:
+        """Return the record of a job's progress; the job fails if it cannot be kept."""
+        job = self._ledger.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        record = records.progress_record(job_id, job.progress)
+        limit = self._store.limits.record_bytes
+        if record.size > limit and not job.final:
+            self._set_aside(job_id, f"record of {record.size} bytes; at most {limit}")
+            record = records.progress_record(job_id, job.progress)
+        return record
+
+    async def _append(self, batch: list[Record]) -> None:
+        """Store records; what the store rejects for good must not hold up the others."""
+        if await self._jobs.append(batch):
+            return
+        if len(batch) > 1:
+            for half in halves(batch):
+                await self._append(half)
+            return
+        self._set_aside(records.job_id_of(batch[0]), "the store rejects its record")
+
+    def _set_aside(self, job_id: str, reason: str) -> None:
+        """Let a job fail whose progress cannot be stored."""
+        job = self._ledger.jobs_by_id.get(job_id)
+        if job is None:
+            return
+        _LOG.error("progress of a job cannot be stored", job=job_id, reason=reason)
+        if not job.final:
+            self._ledger.finish(job, JobState.FAILED)
+
     def _end_pass(self, ended: _Pass) -> None:
         """Acknowledge the ends, and wake those who waited for the progress."""
         for worker, number in ended.acknowledging:
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -239,8 +239,8 @@
             sent = result.error.sent
             return WriteOutcome.UNKNOWN if sent else WriteOutcome.NOT_STORED
         response = result.ok
-        if response.status in (400, 404):
-            # A peer of another version does not know the call.
+        if response.status in (400, 404, 413):
+            # A peer of another version does not know the call, or the size.
             return WriteOutcome.NOT_STORED
         if response.status != 200:
             return WriteOutcome.UNKNOWN
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -23,6 +23,10 @@
     VMS = "vms"
 
 
+RECORD_OVERHEAD_BYTES = 5
+"""Size of the lengths of a record and its key in the store."""
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """Keyed record; a ``value`` of None deletes the key."""
@@ -31,6 +35,11 @@
     value: bytes | None
     offset: int = -1
 
+    @property
+    def size(self) -> int:
+        """Size in the store, in bytes: the lengths, the key and the value."""
+        return RECORD_OVERHEAD_BYTES + len(self.key.encode()) + len(self.value or b"")
+
 
 @dataclass(frozen=True, slots=True)
 class ProducerSequence:
@@ -44,17 +53,34 @@
 class AppendOutcome(StrEnum):
     """Outcome of an append.
 
-    After ``REFUSED`` the append has certainly had no effect. After ``UNKNOWN`` it may
-    have taken effect, or may still do so.
+    After ``REFUSED`` the append has certainly had no effect, but may succeed later. After
+    ``INVALID`` it has had none and never will, e.g. since a record is too large. After
+    ``UNKNOWN`` it may have taken effect, or may still do so.
     """
 
     DONE = "done"
     CONFLICT = "conflict"
     FENCED = "fenced"
     REFUSED = "refused"
+    INVALID = "invalid"
     UNKNOWN = "unknown"
 
 
+DEFAULT_RECORD_BYTES = 256 * 1024
+"""Maximum size of a record if the settings name none."""
+
+DEFAULT_APPEND_BYTES = 2 * 1024 * 1024
+"""Maximum size of all records of an append if the settings name none."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """Maximum sizes of a record, and of all records of an append, in bytes."""
+
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    append_bytes: int = DEFAULT_APPEND_BYTES
+
+
 @dataclass(frozen=True, slots=True)
 class AppendResult:
     """Outcome of an append and, if known, its offset and the end of the topic."""
@@ -84,6 +110,8 @@
 class Store(ABC):
     """Linearizable store of compacted topics."""
 
+    limits: StoreLimits = StoreLimits()
+
     @abstractmethod
     async def append(
         self,
--- a/packages/cell/src/briarrun_cell/record_writer.py
+++ b/packages/cell/src/briarrun_cell/record_writer.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from briarrun_cell.batches import halves, take_batch
 from briarrun_cell.clock import Clock
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
 
@@ -24,11 +25,13 @@
 class WriteOutcome(StrEnum):
     """Outcome of a write as reported to the caller.
 
-    After ``UNREACHABLE`` nothing was sent, since the store is silent.
+    After ``UNREACHABLE`` nothing was sent, since the store is silent. A ``REJECTED``
+    record is not stored and never will be, e.g. since it is too large.
     """
 
     STORED = "stored"
     NOT_STORED = "not-stored"
+    REJECTED = "rejected"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
@@ -102,7 +105,11 @@
             while not self._queue:
                 self._wake.clear()
                 await self._wake.wait()
-            batch, self._queue = self._queue[:MAX_BATCH], self._queue[MAX_BATCH:]
+            limit = self._store.limits.append_bytes
+            batch = take_batch(
+                self._queue, lambda pending: pending.record.size, limit, MAX_BATCH
+            )
+            del self._queue[: len(batch)]
             await self._send(batch)
 
     async def _send(self, batch: list[_PendingWrite]) -> None:
@@ -116,6 +123,13 @@
             for pending in batch:
                 _complete(pending, WriteOutcome.STORED)
             return
+        if result.outcome is AppendOutcome.INVALID:
+            if len(batch) == 1:
+                _complete(batch[0], WriteOutcome.REJECTED)
+            else:
+                for half in halves(batch):
+                    await self._send(half)
+            return
         if result.outcome is AppendOutcome.UNKNOWN:
             # The answer to an earlier call may still arrive shortly after this append
             # was sent, and proves nothing about the store's present state.
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -85,6 +85,11 @@
     return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
 
 
+def job_id_of(record: Record) -> str:
+    """Return the id of the job that a record of the job stream is about."""
+    return record.key[len(_JOB) :]
+
+
 def compacted_job_record(spec: JobSpec) -> Record:
     """Return the record of a finished job without its steps and payload."""
     terms = Queue(name=spec.queue, host="", path_prefix="", pool="")
--- a/packages/cell/src/briarrun_cell/settings.py
+++ b/packages/cell/src/briarrun_cell/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from briarrun_cell.ports import StoreLimits
+
 
 @dataclass(frozen=True, slots=True)
 class CellSettings:
@@ -27,6 +29,7 @@
     grace_s: float
     keep_final_s: float
     cores: float
+    store_limits: StoreLimits = StoreLimits()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cell/src/briarrun_cell/write_relay.py
+++ b/packages/cell/src/briarrun_cell/write_relay.py
@@ -68,7 +68,11 @@
     ) -> WriteOutcome:
         """Store one record and return the outcome, as ``RecordWriter.write`` does."""
         outcome = await self._relayed(record)
-        if outcome in (WriteOutcome.STORED, WriteOutcome.UNREACHABLE):
+        if outcome in (
+            WriteOutcome.STORED,
+            WriteOutcome.REJECTED,
+            WriteOutcome.UNREACHABLE,
+        ):
             return outcome
         return await self._writer.write(
             record,
@@ -85,7 +89,7 @@
         outcome = await self._relay.write_via(
             address, record, send_within_s=SEND_TIMEOUT_S, timeout_s=RELAY_TIMEOUT_S
         )
-        if outcome is not WriteOutcome.STORED:
+        if outcome not in (WriteOutcome.STORED, WriteOutcome.REJECTED):
             self._paused_until = self._clock.now() + PAUSE_S
             _LOG.warning(
                 "the holder did not store a record",
--- a/tests/cell/test_start_orders.py
+++ b/tests/cell/test_start_orders.py
@@ -20,6 +20,7 @@
     OrderOutcome,
     StartOrder,
     Store,
+    StoreLimits,
     WorkerAnswer,
     Workers,
 )
@@ -59,6 +60,8 @@
 class _SlowStore:
     """Takes 0.1 s for an append, in which the progress of 450 jobs changes."""
 
+    limits = StoreLimits()
+
     def __init__(self, ledger: Ledger) -> None:
         self._ledger = ledger
 
--- a/tools/emulator/cell/store.py
+++ b/tools/emulator/cell/store.py
@@ -185,11 +185,17 @@
         """Append all records or none, if the topic ends at ``at``."""
         store, rng = self._store, self._store.rng
         store.appends += 1
+        sizes = [record.size for record in records]
+        largest, total = max(sizes, default=0), sum(sizes)
+        too_large = largest > self.limits.record_bytes
         try:
             async with asyncio.timeout(timeout_s):
                 await self._travel(timeout_s)
                 if store.faults.down or self.refused:
                     return AppendResult(AppendOutcome.REFUSED, detail="down")
+                if too_large or total > self.limits.append_bytes:
+                    detail = f"record of {largest} bytes, {total} in total"
+                    return AppendResult(AppendOutcome.INVALID, detail=detail)
                 if store.append_s:
                     # An append that is waiting takes effect without its caller, too.
                     turn = asyncio.ensure_future(
