Open an occurrence of a schedule when it is due, and fold it when it is done

Cause: the ledger had a step object, and the progress a key, for each occurrence from acceptance on: 26,280 of them, a record of 312,111 bytes, which the store does not take, and a takeover that builds them for longer than a claim is valid. Each round went through all of them.

An occurrence is now opened when it is due, and becomes a number in the ranges of done ones when all its steps have ended. At most 1,000 steps of a job are open beside its first occurrence; later ones wait for their end. Completed tasks are stored as ranges. Records of earlier versions are read. The time for the estimates of a job is linear in its steps. The explanation of a job lists the same steps as before; its test counts them by the job's schedule, since the ledger has fewer.

--- a/packages/cell/src/briarrun_cell/explanation.py
+++ b/packages/cell/src/briarrun_cell/explanation.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from datetime import UTC, datetime
 from enum import StrEnum
 from heapq import nsmallest
+from itertools import islice
 
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Job, Step
@@ -192,10 +193,12 @@
         _explain_step(step, ledger, unexamined_since)
         for step in job.steps_by_id.values()
     ]
+    steps += islice(_explain_quiet_steps(job, ledger), MAX_EXPLAINED_STEPS)
     listed = _bounded(steps)
     lines = [first, *(_line(step, job.spec.runs > 1) for step in listed)]
-    if len(listed) < len(steps):
-        lines.append(f"{len(steps) - len(listed)} further steps")
+    total = job.spec.runs * len(job.spec.steps)
+    if len(listed) < total:
+        lines.append(f"{total - len(listed)} further steps")
     return JobExplanation(
         job.job_id,
         state,
@@ -211,8 +214,6 @@
 
     A schedule may have thousands of occurrences.
     """
-    if len(steps) <= MAX_EXPLAINED_STEPS:
-        return steps
     quiet = (Standing.DONE, Standing.NOT_DUE)
     listed = nsmallest(
         MAX_EXPLAINED_STEPS,
@@ -222,6 +223,39 @@
     return sorted(listed, key=lambda each: (each.occurrence, each.step))
 
 
+def _explain_quiet_steps(job: Job, ledger: Ledger) -> Iterator[StepExplanation]:
+    """Explain the steps of occurrences that are done or not open yet, in order."""
+    for occurrence in job.quiet_occurrences():
+        done = occurrence in job.done_occurrences
+        for number, spec in enumerate(job.spec.steps):
+            tasks = spec.count if done else 0
+            if done:
+                standing, text = Standing.DONE, f"done ({tasks} of {spec.count} tasks)"
+            elif job.final:
+                standing = Standing.ENDED
+                text = f"ended with the job, 0 of {spec.count} tasks done"
+            else:
+                standing = Standing.NOT_DUE
+                text = _not_due_text(job, occurrence, ledger)
+            yield StepExplanation(
+                occurrence=occurrence,
+                step=number,
+                standing=standing,
+                text=text,
+                done=tasks,
+                active=0,
+                pending=spec.count - tasks,
+            )
+
+
+def _not_due_text(job: Job, occurrence: int, ledger: Ledger) -> str:
+    """Return why an occurrence has not been opened."""
+    wall_ms, due_ms = ledger.clock.wall_ms(), job.spec.due_ms(occurrence)
+    if due_ms <= wall_ms:
+        return "waits for earlier occurrences to end"
+    return f"not due until {_utc(due_ms)}, in {(due_ms - wall_ms) / 1000:.1f} s"
+
+
 def _line(step: StepExplanation, scheduled: bool) -> str:
     place = f"occurrence {step.occurrence}, " if scheduled else ""
     return f"{place}step {step.step}: {step.text}"
@@ -251,9 +285,8 @@
     running = f"running: {active} of {count} tasks, {done} done"
     if not step.startable:
         return replace(result, standing=Standing.RUNNING, text=running)
-    wall_ms, due_ms = ledger.clock.wall_ms(), job.spec.due_ms(result.occurrence)
-    if due_ms > wall_ms:
-        text = f"not due until {_utc(due_ms)}, in {(due_ms - wall_ms) / 1000:.1f} s"
+    if job.spec.due_ms(result.occurrence) > ledger.clock.wall_ms():
+        text = _not_due_text(job, result.occurrence, ledger)
         return replace(result, standing=Standing.NOT_DUE, text=text)
     earlier = [
         number
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 import copy
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from briarrun_cell.index_ranges import IndexRanges, to_indexes
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
-from briarrun_cell.records import JobProgress, StepProgress, progress_key
+from briarrun_cell.records import (
+    JobProgress,
+    StepProgress,
+    occurrence_of,
+    progress_key,
+)
 from briarrun_cell.waiting import Wait, WaitReason
 from briarrun_cell.workers import Run
 
 GANG = -1
 """Task index under which the failures of a gang are counted."""
 
+MAX_OPEN_STEPS = 1_000
+"""Number of steps of a job in the ledger above which no further occurrence is opened."""
+
 
 @dataclass(slots=True)
 class Ticket:
@@ -88,6 +98,10 @@
 class Job:
     """Job in the ledger.
 
+    ``steps_by_id`` holds the steps of open occurrences. An occurrence of a schedule is
+    opened when it is due, and is only a number in ``done_occurrences`` once all its steps
+    are done, so that a job grows with what runs and not with what is still to come.
+
     ``target_end_at`` is the time by which callers expect the job to end. After
     ``latest_useful_end_at`` its result has no value.
     """
@@ -99,10 +113,17 @@
     target_end_at: float
     latest_useful_end_at: float
     steps_by_id: dict[StepId, Step] = field(default_factory=dict)
+    done_occurrences: IndexRanges = field(default_factory=IndexRanges)
     cancelled: bool = False
     over_rate: bool = False
     first_start_at: float | None = None
     final_at: float | None = None
+    _remaining_s: list[float] = field(default_factory=list)
+    _next_occurrence: int = 0
+
+    def __post_init__(self) -> None:
+        """Estimate the remaining run times."""
+        self._remaining_s = remaining_s_by_step(self.spec)
 
     @property
     def job_id(self) -> str:
@@ -114,8 +135,89 @@
         """Whether the job has reached a final state."""
         return self.progress.final is not None
 
+    @property
+    def all_done(self) -> bool:
+        """Whether all steps of all occurrences are done."""
+        opened = len(self.steps_by_id) // max(1, len(self.spec.steps))
+        return len(self.done_occurrences) + opened >= self.spec.runs and all(
+            step.done for step in self.steps_by_id.values()
+        )
+
+    def occurrence_steps(self, occurrence: int) -> list[Step]:
+        """Return the steps of an open occurrence."""
+        return [
+            self.steps_by_id[StepId(self.job_id, occurrence, number)]
+            for number in range(len(self.spec.steps))
+        ]
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Add the steps of an occurrence, with their stored progress if there is any."""
+        if StepId(self.job_id, occurrence, 0) in self.steps_by_id:
+            return
+        for number, spec in enumerate(self.spec.steps):
+            key = progress_key(occurrence, number)
+            progress = self.progress.steps_by_key.setdefault(key, StepProgress())
+            done = to_indexes(progress.done_ranges, spec.count).union(progress.done)
+            progress.done, progress.done_ranges = sorted(done), []
+            step_id = StepId(self.job_id, occurrence, number)
+            self.steps_by_id[step_id] = Step(
+                step_id,
+                self,
+                spec,
+                progress,
+                pending=set(range(spec.count)) - done,
+                remaining_s=self._remaining_s[number],
+            )
+
+    def close_occurrences(self) -> None:
+        """Remove the steps of occurrences that are done and have no active runs."""
+        if not self.spec.occurrences:
+            return
+        opened = {step_id.occurrence for step_id in self.steps_by_id}
+        for occurrence in sorted(opened):
+            steps = self.occurrence_steps(occurrence)
+            if not all(step.done and not step.active for step in steps):
+                continue
+            for step in steps:
+                del self.steps_by_id[step.step_id]
+                key = progress_key(occurrence, step.step_id.step)
+                self.progress.steps_by_key.pop(key, None)
+            self.done_occurrences.add(occurrence)
+            self.progress.done_occurrences = list(self.done_occurrences.ranges)
+
+    def open_due_occurrences(self, wall_ms: int) -> None:
+        """Open the occurrences that are due, as far as the job may hold more steps.
+
+        The first unfinished ones come first, so that later ones wait for their end.
+        """
+        if not self._is_due(self._next_occurrence, wall_ms):
+            return
+        self.close_occurrences()
+        while self._is_due(self._next_occurrence, wall_ms):
+            occurrence = self.done_occurrences.next_missing(self._next_occurrence)
+            steps = len(self.steps_by_id) + len(self.spec.steps)
+            if self.steps_by_id and steps > MAX_OPEN_STEPS:
+                return
+            if self._is_due(occurrence, wall_ms):
+                self.open_occurrence(occurrence)
+                occurrence += 1
+            self._next_occurrence = occurrence
+
+    def _is_due(self, occurrence: int, wall_ms: int) -> bool:
+        return occurrence < self.spec.runs and self.spec.due_ms(occurrence) <= wall_ms
+
+    def quiet_occurrences(self) -> Iterator[int]:
+        """Return the occurrences that are done or not open yet, in order."""
+        for occurrence in range(self.spec.runs):
+            if StepId(self.job_id, occurrence, 0) not in self.steps_by_id:
+                yield occurrence
+
     def ready_steps(self, wall_ms: int) -> list[Step]:
-        """Return the steps that may start: due, and all earlier steps done."""
+        """Return the steps that may start: due, and all earlier steps done.
+
+        Opens the occurrences that are due.
+        """
+        self.open_due_occurrences(wall_ms)
         ready = []
         for step_id, step in self.steps_by_id.items():
             if not step.startable:
@@ -145,16 +247,22 @@
     return max(ends, default=0.0)
 
 
-def remaining_s(spec: JobSpec, first: int) -> float:
-    """Return the estimated run time of the job from step ``first`` on."""
-    ends: dict[int, float] = {}
-    for number, step in enumerate(spec.steps):
-        if number < first:
-            ends[number] = 0.0
-            continue
-        earlier = [ends[index] for index in step.after if index in ends]
-        ends[number] = max(earlier, default=0.0) + step.estimated_ms / 1000
-    return max(ends.values(), default=0.0)
+def remaining_s_by_step(spec: JobSpec) -> list[float]:
+    """Return the estimated run time of the job from each step on.
+
+    It is the longest chain of dependent steps among that step and the later ones.
+    """
+    chain_s = [step.estimated_ms / 1000 for step in spec.steps]
+    longest_s = 0.0
+    remaining_s = [0.0] * len(spec.steps)
+    for number in reversed(range(len(spec.steps))):
+        for earlier in spec.steps[number].after:
+            if earlier < number:
+                own_s = spec.steps[earlier].estimated_ms / 1000
+                chain_s[earlier] = max(chain_s[earlier], own_s + chain_s[number])
+        longest_s = max(longest_s, chain_s[number])
+        remaining_s[number] = longest_s
+    return remaining_s
 
 
 ADVICE_WORKERS = 30
@@ -188,18 +296,18 @@
         target_end_at=accepted_at + expected_s,
         latest_useful_end_at=accepted_at + LATE_FACTOR * expected_s,
     )
-    for occurrence in range(spec.runs):
-        for number, step in enumerate(spec.steps):
-            step_id = StepId(spec.job_id, occurrence, number)
-            key = progress_key(occurrence, number)
-            stored = progress.steps_by_key.setdefault(key, StepProgress())
-            pending = set(range(step.count)) - set(stored.done)
-            job.steps_by_id[step_id] = Step(
-                step_id,
-                job,
-                step,
-                stored,
-                pending,
-                remaining_s=remaining_s(spec, number),
-            )
+    job.done_occurrences = IndexRanges(
+        (first, min(last, spec.runs - 1)) for first, last in progress.done_occurrences
+    )
+    progress.steps_by_key = {
+        key: step for key, step in progress.steps_by_key.items() if not step.empty
+    }
+    started = {occurrence_of(key) for key in progress.steps_by_key}
+    if not spec.occurrences:
+        started.add(0)
+    for occurrence in sorted(each for each in started if each is not None):
+        if occurrence < spec.runs and occurrence not in job.done_occurrences:
+            job.open_occurrence(occurrence)
+    job.close_occurrences()
+    job.open_due_occurrences(wall_ms)
     return job
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from bisect import insort
+from collections.abc import Iterable
+
 from briarrun_cell.jobs import GANG, Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
@@ -214,22 +217,23 @@
             step.failed_on.add(worker.worker_id)
 
     def _on_done(self, step: Step, end: EndReport) -> None:
-        done = set(step.progress.done)
-        done |= set(range(step.spec.count)) if step.spec.gang else {end.task.ordinal}
-        step.progress.done = sorted(done)
+        progress = step.progress
+        if step.spec.gang:
+            done: Iterable[int] = range(step.spec.count)
+            progress.done = list(done)
+        else:
+            done = (end.task.ordinal,)
+            if end.task.ordinal not in progress.done:
+                insort(progress.done, end.task.ordinal)
         for index in done:
-            step.progress.assigned_by_index.pop(index, None)
-        step.pending -= done
-        step.progress.checkpoints_by_index = {
-            index: saved
-            for index, saved in step.progress.checkpoints_by_index.items()
-            if index not in done
-        }
+            progress.assigned_by_index.pop(index, None)
+            progress.checkpoints_by_index.pop(index, None)
+        step.pending.difference_update(done)
         if not step.spec.gang:
             for other in list(step.active.get(end.task.ordinal, [])):
                 self._ledger.stop(other, "another copy is done")
         job = step.job
-        if not job.final and all(each.done for each in job.steps_by_id.values()):
+        if not job.final and job.all_done:
             self._ledger.finish(job, JobState.COMPLETED)
 
     def _on_failed(self, worker: Worker, step: Step, end: EndReport) -> None:
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from briarrun_cell.index_ranges import to_ranges
 from briarrun_cell.model import JobSpec, JobState, Queue
 from briarrun_cell.ports import Record
 from briarrun_wire.decode import MAX_AMOUNT, Amount, DecodeError, Unsigned, decode_json
@@ -27,25 +28,47 @@
 _PROGRESS = "p/"
 
 
+IndexRange = tuple[Amount, Amount]
+"""First and last index of a range."""
+
+
 class StepProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """Stored progress of one occurrence of a step.
+    """Progress of one occurrence of a step.
 
-    ``assigned_by_index`` maps tasks to the workers on which they were or will be
+    The indexes of completed tasks are kept in ``done`` and stored in ``done_ranges``;
+    earlier versions stored ``done``. ``assigned_by_index`` maps tasks to the workers on which they were or will be
     started; it is stored before the start orders are sent. ``failed_runs_by_index``
     lists the numbers of failed runs, so that a failure reported to two holders counts
     once. Failures of a gang have the index -1.
     """
 
     done: list[Amount] = []
+    done_ranges: list[IndexRange] = []
     assigned_by_index: dict[Index, str] = {}
     failed_runs_by_index: dict[Index, list[Unsigned]] = {}
     checkpoints_by_index: dict[Index, str] = {}
 
+    @property
+    def empty(self) -> bool:
+        """Whether no task of the step has been started."""
+        return not (
+            self.done
+            or self.done_ranges
+            or self.assigned_by_index
+            or self.failed_runs_by_index
+            or self.checkpoints_by_index
+        )
+
 
 class JobProgress(msgspec.Struct, kw_only=True, omit_defaults=True):
-    """Stored progress of a job; steps have the key ``occurrence.step``."""
+    """Stored progress of a job; steps have the key ``occurrence.step``.
+
+    ``done_occurrences`` are ranges of occurrences that are completed; their steps have no
+    key, and neither have steps of which no task has been started.
+    """
 
     begun: bool = False
+    done_occurrences: list[IndexRange] = []
     steps_by_key: dict[str, StepProgress] = {}
     final: JobState | None = None
     final_ms: Unsigned = 0
@@ -62,6 +85,12 @@
     return f"{occurrence}.{step}"
 
 
+def occurrence_of(key: str) -> int | None:
+    """Return the occurrence in the key of a step's progress, None if it is malformed."""
+    occurrence = key.partition(".")[0]
+    return int(occurrence) if occurrence.isdecimal() and len(occurrence) < 10 else None
+
+
 def job_record(spec: JobSpec) -> Record:
     """Return the record of an accepted job."""
     return Record(_JOB + spec.job_id, msgspec.json.encode(spec))
@@ -79,10 +108,19 @@
     Only the outcome of a finished job is stored.
     """
     if progress.final is not None:
-        progress = JobProgress(
+        stored = JobProgress(
             begun=progress.begun, final=progress.final, final_ms=progress.final_ms
         )
-    return Record(_PROGRESS + job_id, msgspec.json.encode(progress))
+    else:
+        steps_by_key = {
+            key: msgspec.structs.replace(
+                step, done=[], done_ranges=to_ranges(step.done)
+            )
+            for key, step in progress.steps_by_key.items()
+            if not step.empty
+        }
+        stored = msgspec.structs.replace(progress, steps_by_key=steps_by_key)
+    return Record(_PROGRESS + job_id, msgspec.json.encode(stored))
 
 
 def job_id_of(record: Record) -> str:
