Bound the tasks in flight of a job by the size of its progress

Cause: nothing bounded the progress of a wide job.

The module progress_size computes how many tasks may be in flight so that their progress fits whatever becomes of them; tasks that have started before keep their place. A gang or lasting tasks that cannot be kept, and a job above the size of a record, are refused with 400 before they are stored. The checkpoint of a gang is stored once, so that all members resume from the same one; members could start with different ones after a worker was lost.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -26,6 +26,7 @@
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.operations import Explainer, NotHolder
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
+from briarrun_cell.progress_size import ProgressBounds
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
 from briarrun_cell.replicas import choose_replicas, is_replica, nearest_first
@@ -218,6 +219,7 @@
             SubmissionWriter(self._writer, ports.relay, self._holder_address, clock),
             clock,
             settings.max_config_age_s,
+            ProgressBounds(store.limits.record_bytes),
         )
         self.holder = Holder(
             HolderDependencies(
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -15,6 +15,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import FINAL_STATES, JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
+from briarrun_cell.progress_size import JobTooLarge, ProgressBounds
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.write_relay import SubmissionWriter
@@ -88,6 +89,7 @@
         writer: SubmissionWriter,
         clock: Clock,
         max_config_age_s: float,
+        bounds: ProgressBounds,
     ) -> None:
         self._config = config
         self._config_tail = config_tail
@@ -96,6 +98,7 @@
         self._writer = writer
         self._clock = clock
         self._max_config_age_s = max_config_age_s
+        self._bounds = bounds
 
     @property
     def config_is_current(self) -> bool:
@@ -140,7 +143,14 @@
         accepted = msgspec.structs.replace(
             spec, terms=queue, customer=customer, accepted_ms=self._clock.wall_ms()
         )
-        reply = await self._write(records.job_record(accepted))
+        record = records.job_record(accepted)
+        try:
+            self._check_size(accepted, record)
+        except JobTooLarge as error:
+            detail = str(error)
+            _LOG.info("rejected submission", job=spec.job_id, detail=detail)
+            return Reply(RequestOutcome.INVALID, detail=detail, customer=customer)
+        reply = await self._write(record)
         _LOG.info(
             "handled submission",
             job=spec.job_id,
@@ -154,6 +164,13 @@
         )
         return with_outcome(reply, RequestOutcome.ACCEPTED, customer)
 
+    def _check_size(self, spec: JobSpec, record: Record) -> None:
+        """Raise ``JobTooLarge`` if a record of the job may not fit into the store."""
+        self._bounds.check(spec)
+        limit = self._bounds.record_bytes
+        if record.size > limit:
+            raise JobTooLarge(f"job of {record.size} bytes; at most {limit}")
+
     async def cancel(self, job_id: str, customer: str) -> Reply:
         """Store the cancellation of a job."""
         view = self._view()
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -21,6 +21,7 @@
 from briarrun_cell.orders import HolderTermGuard, OrderSender, WorkerPoller
 from briarrun_cell.planner import Placement, Plan, Planner
 from briarrun_cell.ports import Store, Workers
+from briarrun_cell.progress_size import ProgressBounds
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.wait_monitor import WAIT_REPORT_INTERVAL_S, WaitMonitor
@@ -124,6 +125,7 @@
             deps.config.config,
             deps.lease_durations,
             self._spec_of,
+            ProgressBounds(deps.store.limits.record_bytes),
         )
         self._journal = Journal(
             deps.store,
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -6,8 +6,11 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+import msgspec
+
 from briarrun_cell.index_ranges import IndexRanges, to_indexes
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
+from briarrun_cell.progress_size import ProgressBounds
 from briarrun_cell.records import (
     JobProgress,
     StepProgress,
@@ -18,10 +21,10 @@
 from briarrun_cell.workers import Run
 
 GANG = -1
-"""Task index under which the failures of a gang are counted."""
+"""Task index under which the failures and the checkpoint of a gang are stored."""
 
-MAX_OPEN_STEPS = 1_000
-"""Number of steps of a job in the ledger above which no further occurrence is opened."""
+CHECKPOINT_KEY_BYTES = 12
+"""Size of the index of a checkpoint in the progress of its job."""
 
 
 @dataclass(slots=True)
@@ -69,6 +72,40 @@
     examined_at: float = float("-inf")
     wait: Wait | None = None
 
+    def checkpoint_of(self, index: int) -> str:
+        """Return the checkpoint from which a task resumes, "" if there is none."""
+        key = GANG if self.spec.gang else index
+        return self.progress.checkpoints_by_index.get(key, "")
+
+    def save_checkpoint(self, index: int, value: str) -> None:
+        """Keep the checkpoint of a task, unless the job's progress becomes too large.
+
+        The checkpoint of any member of a gang is valid for all of them.
+        """
+        if not value:
+            return
+        saved = self.progress.checkpoints_by_index
+        key = GANG if self.spec.gang else index
+        size = self.job.checkpoint_bytes + checkpoint_size(value)
+        size -= checkpoint_size(saved.get(key, ""))
+        if size <= self.job.bounds.checkpoint_bytes:
+            saved[key] = value
+            self.job.checkpoint_bytes = size
+
+    def drop_checkpoint(self, index: int) -> None:
+        """Forget the checkpoint of a task that is done."""
+        key = GANG if self.spec.gang else index
+        dropped = self.progress.checkpoints_by_index.pop(key, "")
+        self.job.checkpoint_bytes -= checkpoint_size(dropped)
+
+    def tasks_in_flight(self) -> set[int]:
+        """Return the unfinished tasks that take space in the progress of the job."""
+        progress = self.progress
+        known = {*progress.assigned_by_index, *self.active}
+        known.update(progress.failed_runs_by_index, progress.checkpoints_by_index)
+        known.discard(GANG)
+        return known
+
     @property
     def done(self) -> bool:
         """Whether all tasks have completed."""
@@ -112,6 +149,8 @@
     accepted_at: float
     target_end_at: float
     latest_useful_end_at: float
+    bounds: ProgressBounds
+    checkpoint_bytes: int = 0
     steps_by_id: dict[StepId, Step] = field(default_factory=dict)
     done_occurrences: IndexRanges = field(default_factory=IndexRanges)
     cancelled: bool = False
@@ -159,6 +198,12 @@
             progress = self.progress.steps_by_key.setdefault(key, StepProgress())
             done = to_indexes(progress.done_ranges, spec.count).union(progress.done)
             progress.done, progress.done_ranges = sorted(done), []
+            saved = progress.checkpoints_by_index
+            if spec.gang and saved:
+                # Earlier versions stored the checkpoint of a gang for each task.
+                saved = {GANG: saved.get(GANG) or next(iter(saved.values()))}
+                progress.checkpoints_by_index = saved
+            self.checkpoint_bytes += sum(map(checkpoint_size, saved.values()))
             step_id = StepId(self.job_id, occurrence, number)
             self.steps_by_id[step_id] = Step(
                 step_id,
@@ -195,8 +240,8 @@
         self.close_occurrences()
         while self._is_due(self._next_occurrence, wall_ms):
             occurrence = self.done_occurrences.next_missing(self._next_occurrence)
-            steps = len(self.steps_by_id) + len(self.spec.steps)
-            if self.steps_by_id and steps > MAX_OPEN_STEPS:
+            open_steps = len(self.steps_by_id)
+            if open_steps and not self.bounds.admits_occurrence(self.spec, open_steps):
                 return
             if self._is_due(occurrence, wall_ms):
                 self.open_occurrence(occurrence)
@@ -206,6 +251,14 @@
     def _is_due(self, occurrence: int, wall_ms: int) -> bool:
         return occurrence < self.spec.runs and self.spec.due_ms(occurrence) <= wall_ms
 
+    def room_for_tasks(self) -> int | None:
+        """Return how many further tasks may be in flight, None if all of them fit."""
+        limit = self.bounds.max_tasks(len(self.steps_by_id), self.queue.max_attempts)
+        steps = self.steps_by_id.values()
+        if sum(step.spec.count for step in steps) <= limit:
+            return None
+        return max(0, limit - sum(len(step.tasks_in_flight()) for step in steps))
+
     def quiet_occurrences(self) -> Iterator[int]:
         """Return the occurrences that are done or not open yet, in order."""
         for occurrence in range(self.spec.runs):
@@ -238,6 +291,11 @@
         self.progress.final_ms = wall_ms
 
 
+def checkpoint_size(value: str) -> int:
+    """Return the size of a checkpoint in the progress of its job, in bytes."""
+    return CHECKPOINT_KEY_BYTES + len(msgspec.json.encode(value)) if value else 0
+
+
 def critical_path_ms(spec: JobSpec) -> float:
     """Return the estimated run time of the longest chain of dependent steps."""
     ends: list[float] = []
@@ -281,7 +339,12 @@
 
 
 def create_job(
-    spec: JobSpec, queue: Queue, progress: JobProgress | None, now: float, wall_ms: int
+    spec: JobSpec,
+    queue: Queue,
+    progress: JobProgress | None,
+    now: float,
+    wall_ms: int,
+    bounds: ProgressBounds,
 ) -> Job:
     """Return a job whose pending tasks are those that are not done."""
     # The ledger changes a copy; the job table must show only stored progress.
@@ -295,6 +358,7 @@
         accepted_at=accepted_at,
         target_end_at=accepted_at + expected_s,
         latest_useful_end_at=accepted_at + LATE_FACTOR * expected_s,
+        bounds=bounds,
     )
     job.done_occurrences = IndexRanges(
         (first, min(last, spec.runs - 1)) for first, last in progress.done_occurrences
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -17,6 +17,8 @@
     TaskId,
     WorkerEntry,
 )
+from briarrun_cell.ports import DEFAULT_RECORD_BYTES
+from briarrun_cell.progress_size import ProgressBounds
 from briarrun_cell.ranking import RateMeter
 from briarrun_cell.run_times import RunTimeRatios
 from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
@@ -66,12 +68,14 @@
         config: CellConfig,
         lease_durations: LeaseDurations,
         spec_of: Callable[[str], JobSpec | None],
+        bounds: ProgressBounds | None = None,
     ) -> None:
         self.clock = clock
         self.epoch = epoch
         self.config = config
         self.lease_durations = lease_durations
         self.spec_of = spec_of
+        self._bounds = bounds or ProgressBounds(DEFAULT_RECORD_BYTES)
         self.workers_by_id: dict[str, Worker] = {}
         self.jobs_by_id: dict[str, Job] = {}
         self.usage_by_customer: dict[str, Resources] = {}
@@ -256,7 +260,23 @@
             ]
         if step.spec.gang and (step.active or len(free) < step.spec.count):
             return []
-        return free
+        return self._within_progress(step, free)
+
+    def _within_progress(self, step: Step, free: list[int]) -> list[int]:
+        """Return the tasks with which the progress of the job stays bounded.
+
+        The progress already has space for those that have been started before.
+        """
+        room = step.job.room_for_tasks()
+        if room is None or not free:
+            return free
+        known = step.tasks_in_flight()
+        further = [index for index in free if index not in known]
+        if step.spec.gang:
+            alone = not any(s.tasks_in_flight() for s in step.job.steps_by_id.values())
+            return free if alone or len(further) <= room else []
+        left_out = set(further[room:])
+        return [index for index in free if index not in left_out]
 
     def record_assignments(self, step: Step, runs: Iterable[Run]) -> None:
         """Record the workers of planned runs, to be stored before the start orders."""
@@ -299,6 +319,7 @@
                 entry.progress,
                 self.clock.now(),
                 self.clock.wall_ms(),
+                self._bounds,
             )
             job.over_rate = self._exceeds_rate(job)
             self.jobs_by_id[job_id] = job
@@ -371,7 +392,7 @@
         if step.spec.filler:
             need = replace(need, cores=0)
         now = self.clock.now()
-        checkpoint = step.progress.checkpoints_by_index.get(index, "")
+        checkpoint = step.checkpoint_of(index)
         run = Run(
             task=step.step_id.task(index),
             number=number,
@@ -419,9 +440,10 @@
         step = self.step_of(task)
         if step is None or step.job.final or not 0 <= task.ordinal < step.spec.count:
             return
-        if checkpoint:
-            step.progress.checkpoints_by_index[task.ordinal] = checkpoint
-        if task.ordinal in step.progress.done or task.ordinal in step.active:
+        if task.ordinal in step.progress.done:
+            return
+        step.save_checkpoint(task.ordinal, checkpoint)
+        if task.ordinal in step.active:
             return
         step.pending.add(task.ordinal)
 
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -185,10 +185,7 @@
             self._on_done(step, end)
         elif end.kind is EndKind.FAILED and not step.spec.service:
             self._on_failed(worker, step, end)
-        if end.checkpoint and step.spec.gang:
-            for index in range(step.spec.count):
-                step.progress.checkpoints_by_index[index] = end.checkpoint
-        self._ledger.requeue(end.task, "" if step.spec.gang else end.checkpoint)
+        self._ledger.requeue(end.task, end.checkpoint)
         if step.spec.gang and not step.job.final and not step.done:
             self._requeue_gang(step)
         self._ledger.dirty.add(end.task.job_id)
@@ -196,10 +193,6 @@
     def _requeue_gang(self, step: Step) -> None:
         if not step.active:
             step.pending = set(range(step.spec.count))
-            for index in step.pending:
-                first = step.progress.checkpoints_by_index.get(0, "")
-                if first:
-                    step.progress.checkpoints_by_index[index] = first
 
     def _update_health(
         self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
@@ -227,7 +220,7 @@
                 insort(progress.done, end.task.ordinal)
         for index in done:
             progress.assigned_by_index.pop(index, None)
-            progress.checkpoints_by_index.pop(index, None)
+            step.drop_checkpoint(index)
         step.pending.difference_update(done)
         if not step.spec.gang:
             for other in list(step.active.get(end.task.ordinal, [])):
--- a/tests/cell/test_rejected_records.py
+++ b/tests/cell/test_rejected_records.py
@@ -29,10 +29,9 @@
     """Rejects each append that holds a record with one of some keys."""
 
     def __init__(self, rejected: set[str], limits: StoreLimits | None = None) -> None:
-        super().__init__(FakeCell(1).store)
+        super().__init__(FakeCell(1).store, limits=limits)
         self.rejected = rejected
         self.stored: list[Record] = []
-        self.limits = limits or StoreLimits()
 
     async def append(self, *args: object, **kwargs: object) -> AppendResult:
         records = args[1]
--- a/tests/cell/test_schedules.py
+++ b/tests/cell/test_schedules.py
@@ -13,7 +13,7 @@
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.index_ranges import IndexRanges, to_indexes, to_ranges
 from briarrun_cell.job_table import JobEntry
-from briarrun_cell.jobs import MAX_OPEN_STEPS, remaining_s_by_step
+from briarrun_cell.jobs import remaining_s_by_step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, JobSpec, JobState, StepSpec
 from briarrun_cell.planner import Planner
@@ -108,7 +108,7 @@
 @with_cell(workers=8)
 async def test_backlog_of_occurrences_completes(cell: FakeCell) -> None:
     """Guards against a schedule that is far behind and stops at the bound of its size."""
-    spec = _scheduled(cell.spec(step(1, 50)), 3 * MAX_OPEN_STEPS, 1)
+    spec = _scheduled(cell.spec(step(1, 50)), 3_000, 1)
     cell.fleet.specs_by_id[spec.job_id] = spec
     assert (await cell.submit(spec)).request_outcome is RequestOutcome.ACCEPTED
     other = cell.spec(step(1))
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -26,6 +26,7 @@
 from briarrun_cell.ports import (
     Record,
     StartOrder,
+    StoreLimits,
     Topic,
     WorkerAnswer,
     Workers,
@@ -137,6 +138,7 @@
     max_attempts: int = 2
     customers: tuple[str, ...] = ("roster", "stalls")
     weight: float = 50.0
+    store_limits: StoreLimits = StoreLimits()
 
 
 @dataclass
@@ -241,7 +243,7 @@
 
     def add_vm(self, name: str, latency_s: float) -> None:
         """Add a VM without a process; its calls of the store take ``latency_s`` longer."""
-        view = StoreView(self.store, latency_s=latency_s)
+        view = StoreView(self.store, latency_s, self.options.store_limits)
         self.vms_by_name[name] = CellVm(
             name, view, FakeAdvisor(self.options.decision_s)
         )
--- a/tools/emulator/cell/store.py
+++ b/tools/emulator/cell/store.py
@@ -15,6 +15,7 @@
     ReadResult,
     Record,
     Store,
+    StoreLimits,
     StoreUnavailable,
     Topic,
 )
@@ -153,8 +154,14 @@
 class StoreView(Store):
     """Reach the store from one VM, which can be cut off, refused or frozen."""
 
-    def __init__(self, store: FakeStore, latency_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        store: FakeStore,
+        latency_s: float = 0.0,
+        limits: StoreLimits | None = None,
+    ) -> None:
         self._store = store
+        self.limits = limits or StoreLimits()
         self._latency_s = latency_s
         self.cut = False
         self.refused = False
