Recover jobs in slices, and leave out one that cannot be recovered

Cause: a new holder entered all jobs in one go, on the event loop that renews its claim of 0.37 to 0.82 s; an exception in it ended the scheduler of the term, while the claim went on.

This commit bounds what is left: other tasks run after each 20 ms, changes that arrive meanwhile are applied afterwards, and an exception concerns its job only.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -40,6 +40,9 @@
 MAX_ROUND_INTERVAL_S = 0.05
 """Maximum time without a scheduling round."""
 
+MAX_SLICE_S = 0.02
+"""Time for which a takeover enters jobs before other tasks run, e.g. renewals."""
+
 REVIEW_INTERVAL_S = 0.2
 """Interval between checks for stalled runs."""
 
@@ -218,9 +221,7 @@
         await deps.jobs_tail.wait_for_offset(end)
         await deps.config.wait_loaded()
         ledger.set_config(deps.config.config)
-        for job_id, entry in _by_acceptance(deps.table):
-            ledger.set_job(job_id, entry)
-        deps.table.listeners.append(self._on_job)
+        await self._recover_jobs()
         deps.registry.on_change = self._on_registry
         self._on_registry()
         _LOG.info(
@@ -234,6 +235,32 @@
         self._spawn(self._run_wait_reports())
         await self._run_rounds()
 
+    async def _recover_jobs(self) -> None:
+        """Enter the jobs of the table into the ledger.
+
+        Other tasks run between slices of this work, so that the claim is renewed.
+        """
+        changed: dict[str, None] = {}
+        self._deps.table.listeners.append(changed.setdefault)
+        try:
+            slice_began_at = self._deps.clock.now()
+            for job_id, entry in _by_acceptance(self._deps.table):
+                self._enter_job(job_id, entry)
+                if self._deps.clock.now() >= slice_began_at + MAX_SLICE_S:
+                    await asyncio.sleep(0)
+                    slice_began_at = self._deps.clock.now()
+        finally:
+            self._deps.table.listeners.remove(changed.setdefault)
+        for job_id in changed:
+            self._enter_job(job_id, self._deps.table.by_id.get(job_id))
+        self._deps.table.listeners.append(self._on_job)
+
+    def _enter_job(self, job_id: str, entry: JobEntry | None) -> None:
+        try:
+            self.ledger.set_job(job_id, entry)
+        except Exception as error:  # One job must not keep the others from recovery.
+            _LOG.error("could not enter a job", job=job_id, detail=repr(error))
+
     async def _run_cleanup(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
@@ -252,7 +279,7 @@
                 _LOG.error("report of waiting steps failed", detail=repr(error))
 
     def _on_job(self, job_id: str) -> None:
-        self.ledger.set_job(job_id, self._deps.table.by_id.get(job_id))
+        self._enter_job(job_id, self._deps.table.by_id.get(job_id))
         self.wake()
 
     def _on_registry(self) -> None:
