Count the open tasks of a job when its occurrences change

The bound of the tasks in flight summed over all open steps for each step of a round, which is quadratic in the steps of a job. Found by reading; no run showed it.

--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -139,6 +139,8 @@
     opened when it is due, and is only a number in ``done_occurrences`` once all its steps
     are done, so that a job grows with what runs and not with what is still to come.
 
+    ``open_tasks`` is the number of tasks of these steps.
+
     ``target_end_at`` is the time by which callers expect the job to end. After
     ``latest_useful_end_at`` its result has no value.
     """
@@ -151,6 +153,7 @@
     latest_useful_end_at: float
     bounds: ProgressBounds
     checkpoint_bytes: int = 0
+    open_tasks: int = 0
     steps_by_id: dict[StepId, Step] = field(default_factory=dict)
     done_occurrences: IndexRanges = field(default_factory=IndexRanges)
     cancelled: bool = False
@@ -205,6 +208,7 @@
                 progress.checkpoints_by_index = saved
             self.checkpoint_bytes += sum(map(checkpoint_size, saved.values()))
             step_id = StepId(self.job_id, occurrence, number)
+            self.open_tasks += spec.count
             self.steps_by_id[step_id] = Step(
                 step_id,
                 self,
@@ -224,6 +228,7 @@
             if not all(step.done and not step.active for step in steps):
                 continue
             for step in steps:
+                self.open_tasks -= step.spec.count
                 del self.steps_by_id[step.step_id]
                 key = progress_key(occurrence, step.step_id.step)
                 self.progress.steps_by_key.pop(key, None)
@@ -254,9 +259,9 @@
     def room_for_tasks(self) -> int | None:
         """Return how many further tasks may be in flight, None if all of them fit."""
         limit = self.bounds.max_tasks(len(self.steps_by_id), self.queue.max_attempts)
-        steps = self.steps_by_id.values()
-        if sum(step.spec.count for step in steps) <= limit:
+        if self.open_tasks <= limit:
             return None
+        steps = self.steps_by_id.values()
         return max(0, limit - sum(len(step.tasks_in_flight()) for step in steps))
 
     def quiet_occurrences(self) -> Iterator[int]:
