--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -325,7 +325,7 @@
     def start(self) -> None:
         """Start to read the store and to take part in the election."""
         self._follow_topics()
-        self._supervise("register", self._register)
+        self._supervise("registration", self._keep_registered)
         self._supervise("writer", self._writer.run)
         self._supervise("election", self._run_election)
 
@@ -423,8 +423,8 @@
             renewed_every_s=renewal_interval_s(len(self._vms.by_name)),
         )
 
-    async def _register(self) -> None:
-        """Publish the entry of this VM in the store, and renew it regularly.
+    async def _keep_registered(self) -> None:
+        """Publish the entry of this VM in the store, and renew it until cancelled.
 
         Waits for the list of VMs, which shows whether this is the first registration.
         The holder also removes the entries of VMs that are gone.
