--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -240,20 +240,22 @@
 
         Other tasks run between slices of this work, so that the claim is renewed.
         """
-        changed: dict[str, None] = {}
-        self._deps.table.listeners.append(changed.setdefault)
+        clock, table = self._deps.clock, self._deps.table
+        changed: list[str] = []
+        note_change = changed.append
+        table.listeners.append(note_change)
         try:
-            slice_began_at = self._deps.clock.now()
-            for job_id, entry in _by_acceptance(self._deps.table):
+            slice_began_at = clock.now()
+            for job_id, entry in _by_acceptance(table):
                 self._enter_job(job_id, entry)
-                if self._deps.clock.now() >= slice_began_at + MAX_SLICE_S:
+                if clock.now() >= slice_began_at + MAX_SLICE_S:
                     await asyncio.sleep(0)
-                    slice_began_at = self._deps.clock.now()
+                    slice_began_at = clock.now()
         finally:
-            self._deps.table.listeners.remove(changed.setdefault)
+            table.listeners.remove(note_change)
         for job_id in changed:
-            self._enter_job(job_id, self._deps.table.by_id.get(job_id))
-        self._deps.table.listeners.append(self._on_job)
+            self._enter_job(job_id, table.by_id.get(job_id))
+        table.listeners.append(self._on_job)
 
     def _enter_job(self, job_id: str, entry: JobEntry | None) -> None:
         try:
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -12,11 +12,17 @@
     HistoryTruncated,
     ProducerSequence,
     Record,
+    StoreLimits,
     StoreUnavailable,
     Topic,
 )
 from briarrun_platform.client import PlatformClient
-from briarrun_platform.store import PlatformStore, decode_read, encode_records
+from briarrun_platform.store import (
+    MAX_READ_KIB,
+    PlatformStore,
+    decode_read,
+    encode_records,
+)
 from briarrun_wire.http_server import CloseConnection, HttpHandler, HttpServer
 from briarrun_wire.http_types import HttpRequest, HttpResponse
 
@@ -116,3 +122,12 @@
     with pytest.raises(HistoryTruncated):
         await store.read(Topic.JOBS, 3, wait_s=0.1, timeout_s=1.0)
     await server.close()
+
+
+def test_largest_record_fits_into_one_read() -> None:
+    """Guards against an accepted job whose record no reader of the topic ever gets."""
+    store = PlatformStore(PlatformClient(), "127.0.0.1:1", StoreLimits(10**9, 10**9))
+    record = Record("j/1", b"x" * (store.limits.record_bytes - len("j/1") - 5))
+    assert record.size == store.limits.record_bytes
+    response = encode_records([record])
+    assert 16 + len(response) <= MAX_READ_KIB * 1024
