Refuse a schedule that lasts if its late occurrences could never be opened

Callers could have a schedule with lasting steps accepted of which the late occurrences never start: its early ones never end, and the ledger opens no further one above a share of a record. The check at submission allowed up to the whole record.

The check now asks the same question as the ledger for the last occurrence. Schedules without lasting steps are checked as before.

--- a/packages/cell/src/briarrun_cell/progress_size.py
+++ b/packages/cell/src/briarrun_cell/progress_size.py
@@ -75,7 +75,9 @@
             lasting *= spec.runs
         tasks = max(1, together + lasting)
         limit = self.max_tasks(open_steps, spec.terms.max_attempts)
-        if tasks > limit or not self._holds(open_steps):
+        admitted = self.admits_occurrence(spec, open_steps - len(spec.steps))
+        too_many_open = bool(lasting) and spec.runs > 1 and not admitted
+        if tasks > limit or too_many_open or not self._holds(open_steps):
             raise JobTooLarge(
                 f"job of {tasks} tasks that run together in {open_steps} steps; at most "
                 f"{limit} with that many steps and {spec.terms.max_attempts} attempts"
--- a/tests/cell/test_wide_jobs.py
+++ b/tests/cell/test_wide_jobs.py
@@ -228,3 +228,27 @@
     ProgressBounds(DEFAULT_RECORD_BYTES).check(spec)
     record = progress_record("j", JobProgress(begun=True))
     assert decode(record) == ("j", JobProgress(begun=True))
+
+
+@pytest.mark.parametrize("others", [0, 1, 9])
+@pytest.mark.parametrize("attempts", [1, 3])
+def test_every_occurrence_of_an_accepted_schedule_that_lasts_is_opened(
+    others: int, attempts: int
+) -> None:
+    """Guards against LOST of late occurrences, as the earlier ones never end."""
+    bounds = ProgressBounds(DEFAULT_RECORD_BYTES)
+    lasting = msgspec.structs.replace(TINY, service=True)
+    for runs in range(2, 2_000):
+        spec = JobSpec(
+            job_id="j",
+            terms=msgspec.structs.replace(NORMAL, max_attempts=attempts),
+            customer="c",
+            payload="",
+            steps=(lasting, *[TINY] * others),
+            occurrences=runs,
+        )
+        try:
+            bounds.check(spec)
+        except JobTooLarge:
+            continue
+        assert bounds.admits_occurrence(spec, (runs - 1) * len(spec.steps))
