--- a/packages/cell/src/briarrun_cell/progress_size.py
+++ b/packages/cell/src/briarrun_cell/progress_size.py
@@ -54,8 +54,7 @@
 
     def max_tasks(self, open_steps: int, max_attempts: int) -> int:
         """Return the number of tasks of a job that may be in flight, at least one."""
-        left = self.record_bytes - FIXED_BYTES - self.checkpoint_bytes
-        left -= open_steps * STEP_BYTES
+        left = self._left_for_tasks(open_steps)
         return max(1, left // (TASK_BYTES + max(1, max_attempts) * ATTEMPT_BYTES))
 
     def check(self, spec: JobSpec) -> None:
@@ -77,12 +76,13 @@
         limit = self.max_tasks(open_steps, spec.terms.max_attempts)
         admitted = self.admits_occurrence(spec, open_steps - len(spec.steps))
         too_many_open = bool(lasting) and spec.runs > 1 and not admitted
-        if tasks > limit or too_many_open or not self._holds(open_steps):
+        if tasks > limit or too_many_open or self._left_for_tasks(open_steps) <= 0:
             raise JobTooLarge(
                 f"job of {tasks} tasks that run together in {open_steps} steps; at most "
                 f"{limit} with that many steps and {spec.terms.max_attempts} attempts"
             )
 
-    def _holds(self, open_steps: int) -> bool:
+    def _left_for_tasks(self, open_steps: int) -> int:
+        """Return the size that open steps and checkpoints leave for tasks in flight."""
         left = self.record_bytes - FIXED_BYTES - self.checkpoint_bytes
-        return open_steps * STEP_BYTES < left
+        return left - open_steps * STEP_BYTES
