Move the decisions of the scheduler into a package of their own

Cause: packages/cell was one flat folder of 53 modules, in which the decisions could not be told from the code that does I/O. Change: thirteen modules without I/O move to briarrun_cell.decisions, unchanged but for their imports.

--- a/packages/cell/src/briarrun_cell/advice.py
+++ b/packages/cell/src/briarrun_cell/advice.py
@@ -12,14 +12,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from briarrun_cell.advice_candidates import MAX_WORKERS, ApprovalRates
-from briarrun_cell.advice_queue import Call, CallQueue, Request
 from briarrun_cell.clock import Clock
+from briarrun_cell.decisions.advice_candidates import MAX_WORKERS, ApprovalRates
+from briarrun_cell.decisions.advice_queue import Call, CallQueue, Request
+from briarrun_cell.decisions.planner import AdviceRequest
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.jobs import Step, Ticket
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import AdviceTerms, StepId
-from briarrun_cell.planner import AdviceRequest
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable
 from briarrun_cell.workers import Worker
 
--- /dev/null
+++ b/packages/cell/src/briarrun_cell/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler, apart from I/O."""
--- a/packages/cell/src/briarrun_cell/advice_candidates.py
+++ b/packages/cell/src/briarrun_cell/decisions/advice_candidates.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from briarrun_cell.fitting import task_capacity
+from briarrun_cell.decisions.fitting import task_capacity
 from briarrun_cell.jobs import ADVICE_WORKERS, Step
 from briarrun_cell.workers import Worker
 
--- a/packages/cell/src/briarrun_cell/advice_queue.py
+++ b/packages/cell/src/briarrun_cell/decisions/advice_queue.py
@@ -11,8 +11,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from briarrun_cell.decisions.ranking import Rank
 from briarrun_cell.jobs import Step
-from briarrun_cell.ranking import Rank
 from briarrun_cell.workers import Worker
 
 SLOW_CALL_S = 0.08
--- a/packages/cell/src/briarrun_cell/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -5,29 +5,33 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from briarrun_cell.advice_candidates import (
+from briarrun_cell.decisions.advice_candidates import (
     MAX_WORKERS,
     ApprovalRates,
     choose_candidates,
 )
-from briarrun_cell.customer_limits import CustomerLimits
-from briarrun_cell.fitting import (
+from briarrun_cell.decisions.customer_limits import CustomerLimits
+from briarrun_cell.decisions.fitting import (
     fit,
     fits_when_empty,
     resources_per_task,
     roomiest,
     task_capacity,
 )
-from briarrun_cell.headroom import UrgentHeadroom
+from briarrun_cell.decisions.headroom import UrgentHeadroom
+from briarrun_cell.decisions.planning_round import (
+    TICKET_MARGIN_S,
+    PlanningRound,
+    approved_for,
+)
+from briarrun_cell.decisions.ranking import FairShares, Rank, rank
+from briarrun_cell.decisions.ticket_renewal import RenewalLimits
+from briarrun_cell.decisions.turns import MAX_BLOCKED_STEPS, next_in_turn
+from briarrun_cell.decisions.wait_reasons import find_wait_reason
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
-from briarrun_cell.planning_round import TICKET_MARGIN_S, PlanningRound, approved_for
-from briarrun_cell.ranking import FairShares, Rank, rank
-from briarrun_cell.ticket_renewal import RenewalLimits
-from briarrun_cell.turns import MAX_BLOCKED_STEPS, next_in_turn
-from briarrun_cell.wait_reasons import find_wait_reason
-from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import Run, Worker, worst_in_quarantine
 from briarrun_core.resources import NOTHING
 
--- a/packages/cell/src/briarrun_cell/planning_round.py
+++ b/packages/cell/src/briarrun_cell/decisions/planning_round.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from briarrun_cell.fitting import largest_free
-from briarrun_cell.headroom import UrgentHeadroom
+from briarrun_cell.decisions.fitting import largest_free
+from briarrun_cell.decisions.headroom import UrgentHeadroom
+from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.jobs import Step
-from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Worker
 from briarrun_core.resources import NOTHING, Resources
 
--- a/packages/cell/src/briarrun_cell/turns.py
+++ b/packages/cell/src/briarrun_cell/decisions/turns.py
@@ -10,10 +10,10 @@
 import heapq
 import math
 
-from briarrun_cell.fitting import resources_per_task
+from briarrun_cell.decisions.fitting import resources_per_task
+from briarrun_cell.decisions.ranking import Rank
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.jobs import Step
-from briarrun_cell.ranking import Rank
-from briarrun_cell.waiting import WaitReason
 from briarrun_core.resources import Resources
 
 MAX_BLOCKED_STEPS = 80
--- a/packages/cell/src/briarrun_cell/wait_reasons.py
+++ b/packages/cell/src/briarrun_cell/decisions/wait_reasons.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable
 
-from briarrun_cell.fitting import tasks_fit
+from briarrun_cell.decisions.fitting import tasks_fit
+from briarrun_cell.decisions.planning_round import PlanningRound, approved_for, in_pool
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.jobs import Step
-from briarrun_cell.planning_round import PlanningRound, approved_for, in_pool
-from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import Worker
 
 
--- a/packages/cell/src/briarrun_cell/explanation.py
+++ b/packages/cell/src/briarrun_cell/explanation.py
@@ -9,11 +9,11 @@
 from heapq import nsmallest
 from itertools import islice
 
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Job, Step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import StepId
-from briarrun_cell.waiting import WaitReason
 
 EARLIER_HOLDER = "earlier-holder"
 """Reason of a step that the planner leaves out: an earlier holder may have started its
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -10,6 +10,7 @@
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
+from briarrun_cell.decisions.planner import Placement, Plan, Planner
 from briarrun_cell.election import HolderRole, HolderTerm
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.job_table import JobEntry, JobTable
@@ -19,7 +20,6 @@
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import JobSpec
 from briarrun_cell.orders import HolderTermGuard, OrderSender, WorkerPoller
-from briarrun_cell.planner import Placement, Plan, Planner
 from briarrun_cell.ports import Store, Workers
 from briarrun_cell.progress_size import ProgressBounds
 from briarrun_cell.registry import WorkerRegistry
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from briarrun_cell.decisions.waiting import Wait, WaitReason
 from briarrun_cell.index_ranges import IndexRanges, to_indexes
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
 from briarrun_cell.progress_size import ProgressBounds
@@ -17,7 +18,6 @@
     occurrence_of,
     progress_key,
 )
-from briarrun_cell.waiting import Wait, WaitReason
 from briarrun_cell.workers import Run
 
 GANG = -1
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, replace
 
 from briarrun_cell.clock import Clock
+from briarrun_cell.decisions.ranking import RateMeter
+from briarrun_cell.decisions.run_times import RunTimeRatios
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Job, Step, create_job
 from briarrun_cell.logs import ComponentLog
@@ -19,8 +21,6 @@
 )
 from briarrun_cell.ports import DEFAULT_RECORD_BYTES
 from briarrun_cell.progress_size import ProgressBounds
-from briarrun_cell.ranking import RateMeter
-from briarrun_cell.run_times import RunTimeRatios
 from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
 from briarrun_core.resources import NOTHING, Resources
 
--- a/tests/cell/rounds.py
+++ b/tests/cell/rounds.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from briarrun_cell.decisions.planner import AdviceRequest, Planner
 from briarrun_cell.jobs import Step, Ticket
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import AdviceTerms, Queue
-from briarrun_cell.planner import AdviceRequest, Planner
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import NORMAL, ManualClock
 
--- a/tests/cell/test_advice_choice.py
+++ b/tests/cell/test_advice_choice.py
@@ -7,15 +7,15 @@
 import msgspec
 import pytest
 
-from briarrun_cell.advice_candidates import (
+from briarrun_cell.decisions.advice_candidates import (
     MAX_WORKERS,
     ApprovalRates,
     choose_candidates,
 )
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.jobs import ADVICE_WORKERS, Step, Ticket
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import AdviceTerms, StepId, StepSpec
-from briarrun_cell.planner import Planner
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import NORMAL, job, make_ledger
 
--- a/tests/cell/test_advice_queue.py
+++ b/tests/cell/test_advice_queue.py
@@ -9,14 +9,14 @@
 import pytest
 
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
-from briarrun_cell.advice_candidates import ApprovalRates
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.advice_candidates import ApprovalRates
+from briarrun_cell.decisions.planner import AdviceRequest
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.model import (
     AdviceTerms,
     StepId,
 )
-from briarrun_cell.planner import AdviceRequest
 from briarrun_cell.ports import (
     AdviceAnswer,
 )
--- a/tests/cell/test_backlog.py
+++ b/tests/cell/test_backlog.py
@@ -17,12 +17,17 @@
 import pytest
 
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
-from briarrun_cell.advice_candidates import ApprovalRates
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.advice_candidates import ApprovalRates
+from briarrun_cell.decisions.planner import (
+    MAX_ADVICE_REQUESTS,
+    AdviceRequest,
+    Plan,
+    Planner,
+)
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import AdviceTerms, StepId, StepSpec
-from briarrun_cell.planner import MAX_ADVICE_REQUESTS, AdviceRequest, Plan, Planner
 from briarrun_cell.ports import AdviceAnswer
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import URGENT, entry, job, make_ledger, poll
--- a/tests/cell/test_explanation.py
+++ b/tests/cell/test_explanation.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.explanation import (
     EARLIER_HOLDER,
     MAX_EXPLAINED_STEPS,
@@ -25,7 +26,6 @@
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import JobSpec, JobState, StepId, StepSpec
 from briarrun_cell.records import JobProgress, StepProgress
-from briarrun_cell.waiting import WaitReason
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import (
     NORMAL,
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -11,6 +11,7 @@
 import pytest
 
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.election import MAX_TERM_S, Claim, HolderTerm
 from briarrun_cell.frontend import Reply, RequestOutcome, RequestTarget
 from briarrun_cell.holder import CLEANUP_INTERVAL_S
@@ -19,7 +20,6 @@
 from briarrun_cell.journal import COMPACT_AFTER_S
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndReport, JobSpec, JobState
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import ReadResult, StoreUnavailable, Topic
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.records import JobProgress, decode
--- a/tests/cell/test_idle_hunt.py
+++ b/tests/cell/test_idle_hunt.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from briarrun_cell.planner import Plan, Planner
+from briarrun_cell.decisions.planner import Plan, Planner
 from tools.emulator.cell.faults import (
     FailingJobs,
     Fault,
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -7,6 +7,7 @@
 import pytest
 
 from briarrun_cell.clock import Clock
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.ledger import LeaseDurations, Ledger
 from briarrun_cell.model import (
@@ -25,7 +26,6 @@
     WorkerEntry,
 )
 from briarrun_cell.orders import HolderTermGuard, OrderSender
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import StartOrder, WorkerAnswer, Workers
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.records import JobProgress, StepProgress
--- a/tests/cell/test_long_waits.py
+++ b/tests/cell/test_long_waits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from briarrun_cell.headroom import UrgentHeadroom
+from briarrun_cell.decisions.headroom import UrgentHeadroom
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
     Customer,
--- a/tests/cell/test_overtaken_orders.py
+++ b/tests/cell/test_overtaken_orders.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, RunReport, StepSpec, WorkerEntry
 from briarrun_cell.orders import OrderSender
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import OrderOutcome, StartOrder, WorkerAnswer, Workers
 from briarrun_cell.workers import GiveUpReason, Run, RunState
 from briarrun_core.resources import Resources
--- a/tests/cell/test_schedules.py
+++ b/tests/cell/test_schedules.py
@@ -10,13 +10,13 @@
 from hypothesis import strategies as st
 
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.index_ranges import IndexRanges, to_indexes, to_ranges
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import remaining_s_by_step
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, JobSpec, JobState, StepSpec
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import Topic
 from briarrun_cell.records import JobProgress, StepProgress, decode, progress_record
 from tests.cell.running import with_cell
--- a/tests/cell/test_start_orders.py
+++ b/tests/cell/test_start_orders.py
@@ -9,12 +9,12 @@
 import pytest
 
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import WorkerEntry
 from briarrun_cell.orders import OrderSender
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import (
     AppendOutcome,
     OrderOutcome,
--- a/tests/cell/test_unsettled_starts.py
+++ b/tests/cell/test_unsettled_starts.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, StepSpec
 from briarrun_cell.orders import HolderTermGuard, OrderSender
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
 from briarrun_cell.workers import Run
 from briarrun_core.resources import Resources
--- a/tests/cell/test_wait_monitor.py
+++ b/tests/cell/test_wait_monitor.py
@@ -10,13 +10,13 @@
 import eliot
 import pytest
 
+from briarrun_cell.decisions.planner import Plan, Planner
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.explanation import REASONS, UNEXAMINED
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import StepSpec
-from briarrun_cell.planner import Plan, Planner
 from briarrun_cell.wait_monitor import WaitMonitor
-from briarrun_cell.waiting import WaitReason
 from briarrun_core.resources import Resources
 from tests.cell.running import with_cell
 from tests.cell.test_ledger import ManualClock, job, make_ledger
--- a/tests/cell/test_waiting.py
+++ b/tests/cell/test_waiting.py
@@ -8,13 +8,13 @@
 import msgspec
 import pytest
 
-from briarrun_cell.headroom import UrgentHeadroom
+from briarrun_cell.decisions.headroom import UrgentHeadroom
+from briarrun_cell.decisions.planner import Plan, Planner
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Step, StepAdvice, Ticket
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import AdviceTerms, Customer, JobSpec, Queue, StepSpec
-from briarrun_cell.planner import Plan, Planner
-from briarrun_cell.waiting import WaitReason
 from briarrun_cell.workers import MAX_QUARANTINED_FRACTION
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import NORMAL, URGENT, ManualClock, job, make_ledger
--- a/tests/cell/test_wide_jobs.py
+++ b/tests/cell/test_wide_jobs.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.ledger import Ledger
@@ -20,7 +21,6 @@
     RunReport,
     StepSpec,
 )
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import DEFAULT_RECORD_BYTES, StoreLimits, Topic
 from briarrun_cell.progress_size import JobTooLarge, ProgressBounds
 from briarrun_cell.records import JobProgress, StepProgress, decode, progress_record
--- a/tests/cell/test_worker_lives.py
+++ b/tests/cell/test_worker_lives.py
@@ -8,11 +8,11 @@
 
 import pytest
 
+from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import EndKind, EndReport, Inventory, RunReport, WorkerEntry
 from briarrun_cell.orders import OrderSender, WorkerPoller
-from briarrun_cell.planner import Planner
 from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
 from briarrun_cell.reconciler import MAX_MISSING_POLLS, InventoryReconciler
 from briarrun_cell.workers import Run, RunState, Worker
--- a/tests/cell/test_worst_load.py
+++ b/tests/cell/test_worst_load.py
@@ -10,8 +10,11 @@
 
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy, divide
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.headroom import UrgentHeadroom
+from briarrun_cell.decisions.planner import AdviceRequest, Planner
+from briarrun_cell.decisions.run_times import RunTimeRatios
+from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.entry_vms import EntryVm
-from briarrun_cell.headroom import UrgentHeadroom
 from briarrun_cell.jobs import Ticket
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
@@ -21,10 +24,7 @@
     StepId,
     StepSpec,
 )
-from briarrun_cell.planner import AdviceRequest, Planner
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable
-from briarrun_cell.run_times import RunTimeRatios
-from briarrun_cell.ticket_renewal import RenewalLimits
 from briarrun_cell.workers import Run, RunState, Worker
 from briarrun_core.resources import Resources
 from tests.cell.test_ledger import (
--- a/tools/emulator/cell/idle.py
+++ b/tools/emulator/cell/idle.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from briarrun_cell.decisions.ranking import FairShares, Rank, rank
 from briarrun_cell.jobs import Step
 from briarrun_cell.model import JobSpec, StepId, StepSpec, TaskId
-from briarrun_cell.ranking import FairShares, Rank, rank
 from briarrun_core.resources import NOTHING, Resources
 from tools.emulator.cell.fleet import FakeWorker
 from tools.emulator.cell.workload import tasks_in
--- a/tools/emulator/cell/load.py
+++ b/tools/emulator/cell/load.py
@@ -17,6 +17,7 @@
 
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
 from briarrun_cell.clock import LoopClock
+from briarrun_cell.decisions.planner import Placement, Planner
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import ADVICE_WORKERS, LATE_FACTOR
@@ -33,7 +34,6 @@
     StepId,
     WorkerEntry,
 )
-from briarrun_cell.planner import Placement, Planner
 from briarrun_cell.ports import AdviceAnswer
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.workers import Run, RunState, Worker
