Bound the leases of a worker from its first answer in a term

Cause: a new holder took the leases of each worker to last up to 12.1 s, the longest that an earlier holder could renew them, even after the worker had answered it and refused all earlier holders. Change: the first inventory of a term lowers the bound to one lease from then.

--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -315,6 +315,12 @@
             return True
         worker.in_conversation = True
         has_new_ends = self._reconciler.on_inventory(worker, answer.inventory, sent_at)
+        if first and worker.inventory_known:
+            # The worker has seen the token of this term, so that earlier holders cannot
+            # extend its leases any more.
+            longest_s = ledger.lease_durations.lease_s * (1 + 2 * CLOCK_DRIFT)
+            latest_end = self._clock.now() + longest_s
+            worker.lease_end = min(worker.lease_end, latest_end)
         if first:
             ledger.expire()
         if has_new_ends or first:
--- a/tests/cell/test_takeovers.py
+++ b/tests/cell/test_takeovers.py
@@ -79,3 +79,34 @@
     cell.start_vm(holder.name)
     others = {spec.job_id for spec in specs if spec is not specs[odd]}
     assert not await cell.finished(others, 12.0)
+
+
+DOWN_BOUND_S = 9.0
+"""Stated target: time without a run of a lasting task whose worker was lost."""
+
+
+@pytest.mark.parametrize("crash_after_s", [0.0, 0.5, 2.0])
+@with_cell(vms=3, workers=4)
+async def test_lasting_tasks_start_soon_after_their_worker_and_the_holder_are_lost(
+    cell: FakeCell, crash_after_s: float
+) -> None:
+    """Guards against LOST: leases are taken to be longer than a holder ever gives.
+
+    The new holder has read the inventory of the worker before that crashes, so the
+    earlier holder can no longer extend its leases.
+    """
+    spec = cell.spec(step(1, 1_000, service=True))
+    assert (await cell.submit(spec)).request_outcome is RequestOutcome.ACCEPTED
+    await asyncio.sleep(1.0)
+    cell.kill_vm((await cell.wait_for_holder()).name)
+    holder = await cell.wait_for_holder()
+    await asyncio.sleep(0.5 + crash_after_s)
+    session = holder.core and holder.core.holder.session
+    assert session and all(
+        worker.inventory_known for worker in session.ledger.workers_by_id.values()
+    )
+    (lost,) = (w for w in cell.fleet.workers_by_address.values() if w.runs_by_id)
+    cell.fleet.crash(lost)
+    starts = cell.fleet.starts
+    await asyncio.sleep(DOWN_BOUND_S)
+    assert cell.fleet.starts > starts
