Hold freed amounts of a customer's limit for its urgent steps

Change: a round keeps less urgent steps of the customer from the amount that a step needs which waits for the limit, advice or tickets, for 6 s at most.

--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -128,6 +128,8 @@
                 self._try_plan_step(step, step_rank, round_, plan)
             else:
                 later.append((step_rank, step))
+            if step.startable:
+                self._limits.hold_for(step, now)
         for step_rank, step in next_in_turn(later, round_.largest, now):
             self._try_plan_step(step, step_rank, round_, plan)
         return plan
--- a/tests/cell/test_long_waits.py
+++ b/tests/cell/test_long_waits.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from briarrun_cell.decisions.customer_limits import CustomerLimits
 from briarrun_cell.decisions.headroom import UrgentHeadroom
+from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
     Customer,
@@ -165,3 +167,24 @@
         rounds.end_runs_older_than(2.0)
         rounds.run_one()
     assert "zz" in rounds.placed
+
+
+@pytest.mark.parametrize(
+    ("tasks", "gang", "waited_s", "admitted"),
+    [(1, False, 0.0, 3), (3, True, 0.0, 1), (3, False, 0.0, 3), (1, False, 7.0, 4)],
+)
+def test_limit_is_held_for_more_urgent_steps_for_a_while(
+    tasks: int, gang: bool, waited_s: float, admitted: int
+) -> None:
+    """Guards against amounts that are held for more tasks, or longer, than is of use."""
+    ledger = make_ledger(limit=Resources(4000, 1000))
+    need = Resources(1000, 10)
+    job(ledger, "urgent", StepSpec(count=tasks, need=need, gang=gang), queue=URGENT)
+    job(ledger, "patient", StepSpec(count=9, need=need), queue=make_queue(2))
+    limits = CustomerLimits(ledger)
+    limits.refresh()
+    urgent, patient = step_of(ledger, "urgent"), step_of(ledger, "patient")
+    urgent.note_wait(WaitReason.TICKETS, 100.0)
+    limits.hold_for(urgent, 100.0 + waited_s)
+    assert limits.tasks_admitted(patient) == admitted
+    assert limits.tasks_admitted(urgent) == tasks
