--- /dev/null
+++ b/tests/crowd/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with clients that send much, and read or finish nothing."""
