Bound what a server reads ahead and what its connections hold

Cause: each answer resumed reading however much input was pending, each read added up to 256 KB, and h11's pending input was copied for each request. Change: a connection is not read while 4 KiB are pending beside a request, and reading resumes once the pending input is used up. Reads have at most 16 KiB, a body is one buffer, and 64 parser events are processed per loop iteration. The server asks a budget at each accept, counts what is held, closes the connections that the budget names, and answers 503 before the handler if a request is above a bound. Connections are accepted 64 at a time. Without a budget only connections are bounded, as before.

--- a/packages/wire/src/briarrun_wire/http_connection.py
+++ b/packages/wire/src/briarrun_wire/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Protocol, cast
@@ -10,27 +11,44 @@
 
 import h11
 
+from briarrun_wire.client_bounds import (
+    Activity,
+    ClientBudget,
+    Holding,
+    is_to_be_paused,
+)
 from briarrun_wire.http_types import HttpLimits, HttpRequest, HttpResponse
 
 LINGER_S = 1.0
 """Time that a client has to read a final error response. Closing at once would reset
 the connection and discard the response if the client is still sending."""
 
+MAX_EVENTS_PER_TURN = 64
+"""Parser events of one connection per iteration of the event loop. A body may come in
+chunks of few bytes, thousands in one read."""
+
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _UNSUPPORTED_METHODS = (b"CONNECT", b"TRACE")
 
 
 class ConnectionOwner(Protocol):
-    """Server to which a connection belongs."""
+    """Server to which a connection belongs.
+
+    ``read_buffer`` is used for one read at a time: the event loop fills it and passes
+    it on before the next read, so that all connections of the server can share it.
+    """
 
     limits: HttpLimits
     draining: bool
+    budget: ClientBudget
+    read_buffer: memoryview
+    timeout_s_by_phase: Mapping[Phase, float]
 
     async def answer(self, request: HttpRequest) -> HttpResponse | None:
         """Return the response, or None to close the connection; must not raise."""
 
-    def opened(self, connection: ServerConnection) -> bool:
-        """Register a connection; return False if there are too many."""
+    def opened(self, connection: ServerConnection) -> None:
+        """Register a connection."""
 
     def closed(self, connection: ServerConnection) -> None:
         """Unregister a connection."""
@@ -47,17 +65,45 @@
     LINGER = "linger"
 
 
-class ServerConnection(asyncio.Protocol):
-    """Connection that processes its requests one at a time, in order."""
+def timeouts_of(limits: HttpLimits) -> Mapping[Phase, float]:
+    """Return the time-outs of all phases, in seconds."""
+    return {
+        Phase.IDLE: limits.idle_timeout_s,
+        Phase.HEADER: limits.header_timeout_s,
+        Phase.BODY: limits.body_timeout_s,
+        Phase.HANDLER: float("inf"),
+        Phase.WRITE: limits.write_timeout_s,
+        Phase.LINGER: LINGER_S,
+    }
+
+
+_ACTIVITY_BY_PHASE = {
+    Phase.IDLE: Activity.IDLE,
+    Phase.HEADER: Activity.RECEIVING,
+    Phase.BODY: Activity.RECEIVING,
+    Phase.HANDLER: Activity.HANDLING,
+    Phase.WRITE: Activity.SENDING,
+    Phase.LINGER: Activity.SENDING,
+}
+
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+class ServerConnection(asyncio.BufferedProtocol):
+    """Connection that processes its requests one at a time, in order.
+
+    The owner's budget decides what the connection may hold.
+    """
+
+    def __init__(self, owner: ConnectionOwner, holding: Holding) -> None:
         self._owner = owner
+        self._holding = holding
         self._loop = asyncio.get_running_loop()
         self._h11 = self._new_parser()
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._received = 0
+        self._in_handler = 0
+        self._continues = False
         self._client = ""
         self._task: asyncio.Task[None] | None = None
         self._write_paused = False
@@ -76,23 +122,42 @@
         self._transport = cast(asyncio.Transport, transport)
         peer = transport.get_extra_info("peername")
         self._client = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._transport.set_write_buffer_limits(self._owner.limits.write_buffer_bytes)
         self._enter_phase(Phase.IDLE)
-        if not self._owner.opened(self):
+        self._owner.opened(self)
+        self._holding.close = self.abort
+        if self._holding.refused:
             self._refuse(503, "overloaded", "too many connections")
+        elif self._holding.closing:
+            self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection; a running handler is not cancelled."""
         self._transport = None
+        if self._in_handler:
+            # The request counts until its handler ends; what was ahead of it is freed.
+            self._h11 = self._new_parser()
+            self._received = 0
+            self._note_holding()
+        else:
+            self._owner.budget.release(self._holding)
         self._owner.closed(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self._owner.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Pass received data to the parser."""
         if self.phase is Phase.LINGER:
             return
         if self.phase is Phase.IDLE:
             self._enter_phase(Phase.HEADER)
-        self._h11.receive_data(data)
+        self._h11.receive_data(bytes(self._owner.read_buffer[:nbytes]))
+        self._received += nbytes
         self._process_input()
+        # Counted afterwards, so that a whole request is answered 503 at a bound.
+        self._note_holding()
 
     def eof_received(self) -> bool:
         """Finish the request in flight, then close."""
@@ -110,12 +175,17 @@
     def resume_writing(self) -> None:
         """Continue with the next request once the response is written."""
         self._write_paused = False
-        if self.phase is Phase.WRITE:
+        self._note_holding()
+        if self.phase is Phase.WRITE and not self._is_closed:
             self._next_cycle()
 
     def check_deadline(self, now: float) -> None:
         """Send an error or close if the time-out of the current phase has expired."""
-        if now < self.deadline or self._transport is None:
+        if self._transport is None:
+            return
+        if self._holding.unsent:
+            self._note_holding()
+        if now < self.deadline or self._is_closed:
             return
         if self.phase in (Phase.HEADER, Phase.BODY):
             self._refuse(408, "timeout", f"{self.phase} took too long")
@@ -134,25 +204,35 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _is_closed(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _note_holding(self) -> None:
+        """Tell the budget what is held, and close the connections that it names."""
+        holding, pending, request = self._holding, self._received, self._in_handler
+        unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        if (
+            pending == holding.pending
+            and request == holding.request
+            and unsent == holding.unsent
+        ):
+            return
+        now = self._loop.time()
+        for each in self._owner.budget.update(holding, pending, request, unsent, now):
+            each.close()
+
     def _enter_phase(self, phase: Phase) -> None:
-        limits = self._owner.limits
         self.phase = phase
-        self.deadline = (
-            self._loop.time()
-            + {
-                Phase.IDLE: limits.idle_timeout_s,
-                Phase.HEADER: limits.header_timeout_s,
-                Phase.BODY: limits.body_timeout_s,
-                Phase.HANDLER: float("inf"),
-                Phase.WRITE: limits.write_timeout_s,
-                Phase.LINGER: LINGER_S,
-            }[phase]
-        )
+        now = self._loop.time()
+        self._holding.activity = _ACTIVITY_BY_PHASE[phase]
+        self._holding.since = now
+        self.deadline = now + self._owner.timeout_s_by_phase[phase]
 
     def _process_input(self) -> None:
         """Process parser events until more data or a response is needed."""
         if self.phase in (Phase.HANDLER, Phase.WRITE):
-            self._pause_if_buffer_full()
+            self._pause_if_ahead()
             return
         try:
             self._process_events()
@@ -164,7 +244,12 @@
                 self._refuse(status, "invalid-request", str(error))
 
     def _process_events(self) -> None:
+        events = 0
         while self.phase in (Phase.HEADER, Phase.BODY, Phase.IDLE):
+            if events == MAX_EVENTS_PER_TURN:
+                self._continue_soon()
+                return
+            events += 1
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 if self._h11.they_are_waiting_for_100_continue:
@@ -177,18 +262,39 @@
             if isinstance(event, h11.Request):
                 self._start_request(event)
             elif isinstance(event, h11.Data):
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._dispatch()
             else:
                 self._close()
                 return
 
+    def _continue_soon(self) -> None:
+        """Process the rest of the input after what other connections have received."""
+        if self._transport is not None and not self._continues:
+            self._continues = True
+            self._transport.pause_reading()
+            self._loop.call_soon(self._continue)
+
+    def _continue(self) -> None:
+        self._continues = False
+        if self._is_closed or self.phase is Phase.LINGER:
+            return
+        self._process_rest()
+
+    def _process_rest(self) -> None:
+        """Process the pending input; read on once it has no whole request or chunk."""
+        self._process_input()
+        if self.phase in (Phase.HEADER, Phase.BODY, Phase.IDLE) and not (
+            self._continues or self._is_closed
+        ):
+            assert self._transport is not None
+            self._transport.resume_reading()
+
     def _start_request(self, request: h11.Request) -> None:
         limits = self._owner.limits
         self._request = request
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         raw = request.headers.raw_items()
         size = len(request.target) + sum(len(n) + len(v) + 4 for n, v in raw)
         if len(raw) > limits.max_headers or size > limits.max_header_bytes:
@@ -212,11 +318,10 @@
         self._enter_phase(Phase.BODY)
 
     def _append_body(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._owner.limits.max_body_bytes:
+        if len(self._body) + len(data) > self._owner.limits.max_body_bytes:
             self._refuse_body()
             return
-        self._body.append(data)
+        self._body += data
 
     def _refuse_body(self) -> None:
         limit = self._owner.limits.max_body_bytes
@@ -225,13 +330,31 @@
     def _dispatch(self) -> None:
         assert self._request is not None
         self._enter_phase(Phase.HANDLER)
-        request = _request_of(self._request, b"".join(self._body), self._client)
-        self._body = []
+        pending, _ = self._h11.trailing_data
+        self._in_handler = self._received - len(pending)
+        self._received = len(pending)
+        self._note_holding()
+        if self._is_closed:
+            # The request does not begin, and its client is not told anything.
+            self._in_handler = 0
+            return
+        if not self._owner.budget.may_handle(self._holding):
+            self._in_handler = 0
+            self._body = bytearray()
+            self._refuse(503, "overloaded", "too much input is pending")
+            return
+        self._pause_if_ahead()
+        request = _request_of(self._request, bytes(self._body), self._client)
+        self._body = bytearray()
         self._task = self._loop.create_task(self._answer(request))
 
     async def _answer(self, request: HttpRequest) -> None:
         response = await self._owner.answer(request)
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
+            self._owner.budget.release(self._holding)
+            return
+        self._in_handler = 0
+        if self._transport.is_closing():
             return
         if response is None:
             self._transport.abort()
@@ -247,6 +370,7 @@
         self._write(encoded)
         if self._write_paused:
             self._enter_phase(Phase.WRITE)
+            self._note_holding()
         else:
             self._next_cycle()
 
@@ -277,12 +401,13 @@
             return
         self._h11.start_next_cycle()
         self._request = None
-        pending, eof = self._h11.trailing_data
+        pending, _ = self._h11.trailing_data
+        self._received = len(pending)
         self._enter_phase(Phase.HEADER if pending else Phase.IDLE)
-        if self._transport is not None:
-            self._transport.resume_reading()
-        if pending or eof:
-            self._process_input()
+        self._note_holding()
+        if self._is_closed:
+            return
+        self._process_rest()
 
     def _refuse(self, status: int, reason: str, detail: str) -> None:
         """Send an error response and close; the parser cannot continue after it."""
@@ -305,9 +430,10 @@
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def _pause_if_buffer_full(self) -> None:
-        pending, _ = self._h11.trailing_data
-        if len(pending) > self._owner.limits.max_header_bytes and self._transport:
+    def _pause_if_ahead(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if is_to_be_paused(self._holding.activity, self._received):
             self._transport.pause_reading()
 
     def _new_parser(self) -> h11.Connection:
--- a/packages/wire/src/briarrun_wire/http_server.py
+++ b/packages/wire/src/briarrun_wire/http_server.py
@@ -7,10 +7,24 @@
 import socket
 from abc import ABC, abstractmethod
 
-from briarrun_wire.http_connection import ServerConnection
+from briarrun_wire.client_bounds import (
+    ClientBudget,
+    Holding,
+    ListenerBounds,
+    ProcessBounds,
+)
+from briarrun_wire.http_connection import ServerConnection, timeouts_of
 from briarrun_wire.http_types import HttpLimits, HttpRequest, HttpResponse
 
 BACKLOG = 1024
+
+READ_BYTES = 16 * 1024
+"""Size of one read. Larger ones would be received ahead of the request in progress."""
+
+ACCEPT_BATCH = 64
+"""Connections accepted in one iteration of the event loop, so that a wave of new ones
+does not hold up the requests of others."""
+
 ACCEPT_RETRY_S = 0.1
 """Pause after a failed accept; the usual cause is a lack of file descriptors."""
 
@@ -38,11 +52,24 @@
 
 
 class HttpServer:
-    """HTTP server that passes the requests of each connection to a handler in order."""
-
-    def __init__(self, handler: HttpHandler, limits: HttpLimits | None = None) -> None:
+    """HTTP server that passes the requests of each connection to a handler in order.
+
+    Without a ``budget`` for the listener of that name, only the connections are bounded.
+    """
+
+    def __init__(
+        self,
+        handler: HttpHandler,
+        limits: HttpLimits | None = None,
+        budget: ClientBudget | None = None,
+        listener: str = "",
+    ) -> None:
         self.limits = limits or HttpLimits()
+        self.budget = budget or _budget_of_one(listener, self.limits)
+        self._name = listener
         self.draining = False
+        self.timeout_s_by_phase = timeouts_of(self.limits)
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._handler = handler
         self._connections: set[ServerConnection] = set()
         self._listener: socket.socket | None = None
@@ -62,7 +89,7 @@
         # `loop.create_server` drops connections that it accepted just before `close`.
         # This server accepts connections itself so that a drain serves them.
         self._listener = listener
-        loop.add_reader(listener.fileno(), self._accept)
+        loop.add_reader(listener.fileno(), self._accept, ACCEPT_BATCH)
         self._timeout_task = loop.create_task(self._check_timeouts())
 
     @property
@@ -121,24 +148,23 @@
             self._handlers_running -= 1
             self._changed.set()
 
-    def opened(self, connection: ServerConnection) -> bool:
-        """Register a connection; return False if there are too many."""
+    def opened(self, connection: ServerConnection) -> None:
+        """Register a connection."""
         self._connections.add(connection)
-        return len(self._connections) <= self.limits.max_connections
 
     def closed(self, connection: ServerConnection) -> None:
         """Unregister a connection."""
         self._connections.discard(connection)
         self._changed.set()
 
-    def _accept(self) -> None:
-        """Accept all connections in the backlog."""
+    def _accept(self, count: int) -> None:
+        """Accept up to a number of connections in the backlog."""
         if self._listener is None:
             return
         loop = asyncio.get_running_loop()
-        for _ in range(BACKLOG):
+        for _ in range(count):
             try:
-                accepted, _ = self._listener.accept()
+                accepted, address = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
@@ -146,29 +172,38 @@
                 loop.remove_reader(self._listener.fileno())
                 loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
                 return
+            holding = self.budget.admit(self._name, address[0], loop.time())
+            if holding is None:
+                accepted.close()
+                continue
             accepted.setblocking(False)
-            setup = loop.create_task(self._set_up_connection(accepted))
+            setup = loop.create_task(self._set_up_connection(accepted, holding))
             self._pending_setups.add(setup)
             setup.add_done_callback(self._pending_setups.discard)
 
     def _resume_accepting(self) -> None:
         if self._listener is not None:
             loop = asyncio.get_running_loop()
-            loop.add_reader(self._listener.fileno(), self._accept)
+            loop.add_reader(self._listener.fileno(), self._accept, ACCEPT_BATCH)
 
-    async def _set_up_connection(self, accepted: socket.socket) -> None:
+    async def _set_up_connection(
+        self, accepted: socket.socket, holding: Holding
+    ) -> None:
         loop = asyncio.get_running_loop()
         try:
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await loop.connect_accepted_socket(lambda: ServerConnection(self), accepted)
+            await loop.connect_accepted_socket(
+                lambda: ServerConnection(self, holding), accepted
+            )
         except OSError as error:
             _LOG.warning("http: cannot set up an accepted connection: %s", error)
             accepted.close()
+            self.budget.release(holding)
 
     async def _stop_accepting(self) -> None:
         if self._listener is None:
             return
-        self._accept()
+        self._accept(BACKLOG)
         listener, self._listener = self._listener, None
         asyncio.get_running_loop().remove_reader(listener.fileno())
         listener.close()
@@ -179,5 +214,13 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             now = loop.time()
+            for holding in self.budget.make_room(self._name, now):
+                holding.close()
             for connection in list(self._connections):
                 connection.check_deadline(now)
+
+
+def _budget_of_one(listener: str, limits: HttpLimits) -> ClientBudget:
+    """Return a budget that bounds the connections of one listener."""
+    bounds = ListenerBounds(connections=limits.max_connections, makes_room=False)
+    return ClientBudget(ProcessBounds({listener: bounds}))
--- a/packages/wire/src/briarrun_wire/http_types.py
+++ b/packages/wire/src/briarrun_wire/http_types.py
@@ -68,7 +68,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Limits on the size and duration of requests."""
+    """Limits on the size and duration of requests.
+
+    ``write_buffer_bytes`` is the unsent part of answers above which a connection's next
+    request waits.
+    """
 
     max_header_bytes: int = 16 * 1024
     max_headers: int = 64
@@ -77,6 +81,7 @@
     body_timeout_s: float = 30.0
     idle_timeout_s: float = 60.0
     write_timeout_s: float = 30.0
+    write_buffer_bytes: int = 64 * 1024
     max_connections: int = 4096
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP server with bad input, slow clients and drain."""
 
 import asyncio
+import contextlib
 import json
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -9,7 +11,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from briarrun_wire.http_server import HttpHandler, HttpServer
+from briarrun_wire.client_bounds import ClientBudget, ListenerBounds, ProcessBounds
+from briarrun_wire.http_server import CloseConnection, HttpHandler, HttpServer
 from briarrun_wire.http_types import HttpLimits, HttpRequest, HttpResponse
 
 CASES = json.loads((Path(__file__).parent / "data/http_bad_input.json").read_text())
@@ -30,6 +33,8 @@
             raise ValueError("broken")
         if request.path == "/bad-header":
             return HttpResponse(200, b"", (("X", "a\r\nb"),))
+        if request.path == "/close":
+            raise CloseConnection
         if request.path.startswith("/wait/"):
             await asyncio.sleep(float(request.path.rpartition("/")[2]))
         return HttpResponse(200, request.body or request.path.encode())
@@ -186,3 +191,113 @@
     refused = [a for a in answers if isinstance(a, ConnectionRefusedError)]
     assert served and len(served) + len(refused) == 20
     assert all(a.startswith(b"HTTP/1.1 200") for a in served)
+
+
+async def test_pipelining_client_is_not_read_ahead() -> None:
+    """Answers must not resume reading while much input is pending."""
+    server = await start_server()
+    host, _, port = server.address.rpartition(":")
+    client = socket.create_connection((host, int(port)))
+    client.setblocking(False)
+    requests = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n" * 40_000
+    held = 0
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(1.5):
+            sending = asyncio.get_running_loop().sock_sendall(client, requests)
+            task = asyncio.ensure_future(sending)
+            while True:
+                await asyncio.sleep(0)
+                held = max(held, server.budget.bytes(""))
+    task.cancel()
+    client.close()
+    # One read beside what is kept ahead, and the write buffer with one answer.
+    assert 0 < held <= 20 * 1024 + LIMITS.write_buffer_bytes + 1024
+    await check_serving(server)
+    await server.close()
+
+
+async def test_all_pipelined_requests_are_answered() -> None:
+    """Reading must go on after each pause, also in the middle of a request."""
+    server = await start_server()
+    body = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" + b"b" * 9000
+    chunks = b"POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks += b"1\r\nc\r\n" * 9000 + b"0\r\n\r\n"
+    get = b"GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    sent = b"".join(body % n + chunks for n in range(5)) + VALID * 500 + get
+    answer = await exchange(server, [sent])
+    await server.close()
+    assert answer.count(b"HTTP/1.1 200") == 511
+    assert answer.count(b"b" * 9000) == answer.count(b"c" * 9000) == 5
+    assert answer.endswith(b"/last")
+
+
+async def test_shared_budget_refuses_callers_and_serves_peers() -> None:
+    """Callers at the bounds of the process must not shut out peers."""
+    share = ListenerBounds(connections=4, bytes=30_000, refusals=1)
+    reserve = ListenerBounds(reserved_connections=2, reserved_bytes=20_000)
+    bounds = ProcessBounds({"callers": share, "peers": reserve}, 6, 50_000)
+    budget = ClientBudget(bounds)
+    callers = HttpServer(Echo(), LIMITS, budget, "callers")
+    peers = HttpServer(Echo(), LIMITS, budget, "peers")
+    for each in (callers, peers):
+        await each.start()
+    host, _, port = callers.address.rpartition(":")
+    held = [await asyncio.open_connection(host, int(port)) for _ in range(4)]
+    for _, writer in held:
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 16000\r\n\r\n")
+        writer.write(b"a" * 15_000)
+    await asyncio.sleep(0.1)
+    await check_serving(peers)
+    # Two of the four bodies were too much together; their connections are closed.
+    assert budget.bytes("callers") <= 30_000
+    assert 1 <= budget.connections("callers") < 4
+    for _, writer in held:
+        writer.close()
+    await asyncio.sleep(0.1)
+    assert budget.bytes("callers") == budget.connections("callers") == 0
+    await check_serving(callers)
+    for each in (callers, peers):
+        await each.close()
+
+
+async def test_request_above_the_bound_is_not_handled() -> None:
+    """A refusal for load must be true: the handler never gets the request."""
+    handled: list[str] = []
+
+    class Recorder(Echo):
+        async def handle(self, request: HttpRequest) -> HttpResponse:
+            handled.append(request.path)
+            return await super().handle(request)
+
+    budget = ClientBudget(ProcessBounds({"": ListenerBounds(bytes=10_000)}))
+    server = HttpServer(Recorder(), LIMITS, budget)
+    await server.start()
+    big = b"POST /wait/0.4 HTTP/1.1\r\nHost: a\r\nContent-Length: 9930\r\n\r\n"
+    first = asyncio.create_task(exchange(server, [big + b"a" * 9930, {"eof": True}]))
+    await asyncio.sleep(0.1)
+    second = await exchange(server, [b"GET /second HTTP/1.1\r\nHost: a\r\n\r\n"])
+    assert second.startswith(b"HTTP/1.1 503") and b"not-run" in second
+    assert (await first).startswith(b"HTTP/1.1 200")
+    assert handled == ["/wait/0.4"]
+    await check_serving(server)
+    await server.close()
+
+
+@pytest.mark.parametrize("path", ["/close", "/wait/0.1", "/raise"])
+@pytest.mark.parametrize("leaves", [True, False])
+async def test_ended_connections_hold_nothing(path: str, leaves: bool) -> None:
+    """Connections must not count after their end, however they ended."""
+    server = await start_server()
+    host, _, port = server.address.rpartition(":")
+    for _ in range(5):
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode() * 3)
+        await asyncio.sleep(0.02)
+        if leaves:
+            writer.transport.abort()
+        else:
+            writer.close()
+    async with asyncio.timeout(3):
+        while server.budget.connections("") or server.budget.bytes(""):
+            await asyncio.sleep(0.02)
+    await server.close()
