Bound what clients hold by the memory and descriptors of the VM

Cause: limits.memoryMb and limits.fileDescriptors were not read; each listener admitted 4,096 connections, and the bytes of all together were not bounded. Change: briarrun_cell.client_limits derives the bounds of one budget, which the four listeners share, with a reserve for each. What clients hold, the limits and what was refused or closed are metrics; one log line a second tells of shed load.

--- a/packages/cell/src/briarrun_cell/daemon.py
+++ b/packages/cell/src/briarrun_cell/daemon.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from briarrun_cell.client_limits import (
+    CALLERS,
+    OPERATIONS,
+    PEERS,
+    READINESS,
+    ClientReport,
+    bounds_of,
+)
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigDecoder
 from briarrun_cell.core import CellCore, CorePorts
@@ -22,6 +31,7 @@
 from briarrun_cell.ports import Advisor, Store, Workers
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
+from briarrun_wire.client_bounds import ClientBudget, ProcessBounds
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_server import HttpHandler, HttpServer
 from briarrun_wire.http_types import HttpLimits, HttpRequest, HttpResponse
@@ -34,7 +44,16 @@
 """Time before the end of the grace period at which a stopping process exits."""
 
 MAX_BODY_BYTES = 256 * 1024
-"""Maximum size of a request body."""
+"""Maximum size of the body of a caller's request, and of requests that need no body."""
+
+WRITE_BUFFER_BYTES = 16 * 1024
+"""Unsent part of answers above which a connection's next request waits. An answer to a
+caller has some hundred bytes."""
+
+_LIMITS = HttpLimits(
+    max_body_bytes=MAX_BODY_BYTES, write_buffer_bytes=WRITE_BUFFER_BYTES
+)
+_PEER_LIMITS = HttpLimits(write_buffer_bytes=WRITE_BUFFER_BYTES)
 
 _LOG = ComponentLog("main")
 
@@ -107,25 +126,40 @@
         _LOG.info("starting", incarnation=self._core.incarnation)
         adapters, metrics = self._adapters, self._core.metrics
         handler = adapters.caller_handler(self._core.frontend, self._clock, metrics)
-        callers = HttpServer(handler, HttpLimits(max_body_bytes=MAX_BODY_BYTES))
+        report = ClientReport(metrics, self._clock)
+        budget = ClientBudget(self._client_bounds(), report)
+        metrics.export_clients(budget)
+        callers = HttpServer(handler, _LIMITS, budget, CALLERS)
         readiness = _ReadinessHandler(adapters.readiness_path, lambda: self.ready)
+        peers = PeerHandler(
+            adapters.advisor, self._core.write_for_peer, self._core.local_view
+        )
         await _bind(
-            HttpServer(
-                PeerHandler(
-                    adapters.advisor, self._core.write_for_peer, self._core.local_view
-                )
-            ),
-            self._settings.peer_address,
+            HttpServer(peers, _PEER_LIMITS, budget, PEERS), self._settings.peer_address
         )
         await _bind(callers, self._settings.callers_address)
-        await _bind(HttpServer(readiness), self._settings.readiness_address)
+        await _bind(
+            HttpServer(readiness, _LIMITS, budget, READINESS),
+            self._settings.readiness_address,
+        )
         port = int(adapters.metrics_address.rpartition(":")[2])
         operations = OperationsHandler(adapters.metrics_path, metrics, self._core, port)
-        await _bind(HttpServer(operations), adapters.metrics_address)
+        await _bind(
+            HttpServer(operations, _LIMITS, budget, OPERATIONS),
+            adapters.metrics_address,
+        )
         self._core.start()
         await self._stopping.wait()
         await self._shut_down(callers)
 
+    def _client_bounds(self) -> ProcessBounds:
+        """Return the bounds on clients; the process may have fewer descriptors."""
+        descriptors = self._settings.file_descriptors
+        of_process, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if of_process != resource.RLIM_INFINITY:
+            descriptors = min(descriptors, of_process)
+        return bounds_of(self._settings.memory_mb, descriptors)
+
     async def _shut_down(self, callers: HttpServer) -> None:
         """Release the claim, then serve until the connections are drained."""
         began_at = self._clock.now()
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import partial
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
 from briarrun_cell import unreadable
 from briarrun_cell.explanation import REASONS
+from briarrun_wire.client_bounds import Bound, ClientBudget
 
 _WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 15.0)
 _DECISION_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.1)
@@ -85,6 +87,30 @@
             "Log lines dropped since the last notice of it.",
             registry=registry,
         )
+        self.client_connections = Gauge(
+            "briarrun_client_connections",
+            "Open connections of clients, by listener.",
+            ("listener",),
+            registry=registry,
+        )
+        self.client_bytes = Gauge(
+            "briarrun_client_bytes",
+            "Received bytes that are not answered and unsent bytes, by listener.",
+            ("listener",),
+            registry=registry,
+        )
+        self.client_limit = Gauge(
+            "briarrun_client_limit",
+            "Bounds on what clients hold, by listener and bound.",
+            ("listener", "bound"),
+            registry=registry,
+        )
+        self.shed_clients = Counter(
+            "briarrun_shed_clients",
+            "Connections and requests that were refused or closed at a bound.",
+            ("listener", "bound", "action"),
+            registry=registry,
+        )
         registry.register(unreadable.RECORDS)
 
     def observe_call(
@@ -106,6 +132,28 @@
         """Count ends of runs that a worker forgot before they were read."""
         self.end_gaps.inc(ends)
 
+    def observe_shed(self, listener: str, bound: str, action: str, count: int) -> None:
+        """Count clients that were refused or closed at a bound."""
+        self.shed_clients.labels(listener, bound, action).inc(count)
+
+    def export_clients(self, budget: ClientBudget) -> None:
+        """Show what the clients of each listener hold, and the bounds on it."""
+        bounds = budget.bounds
+        for name, each in bounds.by_listener.items():
+            self.client_connections.labels(name).set_function(
+                partial(budget.connections, name)
+            )
+            self.client_bytes.labels(name).set_function(partial(budget.bytes, name))
+            for bound, value in (
+                (Bound.ADDRESS_CONNECTIONS, each.address_connections),
+                (Bound.LISTENER_CONNECTIONS, each.connections),
+                (Bound.PROCESS_CONNECTIONS, bounds.connections),
+                (Bound.ADDRESS_BYTES, each.address_bytes),
+                (Bound.LISTENER_BYTES, each.bytes),
+                (Bound.PROCESS_BYTES, bounds.bytes),
+            ):
+                self.client_limit.labels(name, str(bound)).set(value)
+
     def set_waits(
         self,
         count_by_reason: Mapping[str, int],
--- a/packages/cell/src/briarrun_cell/settings.py
+++ b/packages/cell/src/briarrun_cell/settings.py
@@ -6,6 +6,12 @@
 
 from briarrun_cell.ports import StoreLimits
 
+DEFAULT_MEMORY_MB = 200
+"""Memory of the smallest VM."""
+
+DEFAULT_FILE_DESCRIPTORS = 4096
+"""Descriptors that a VM has if the settings do not say it."""
+
 
 @dataclass(frozen=True, slots=True)
 class CellSettings:
@@ -14,6 +20,7 @@
     ``max_config_age_s`` is the age of the configuration above which keys are not
     checked and requests are refused. ``max_lease_s`` is the longest lease that a worker
     grants. ``cores`` is the processor time available to the process, in cores.
+    ``memory_mb`` (10^6 bytes) and ``file_descriptors`` are the bounds of the VM.
     """
 
     vm: str
@@ -30,6 +37,8 @@
     keep_final_s: float
     cores: float
     store_limits: StoreLimits = StoreLimits()
+    memory_mb: int = DEFAULT_MEMORY_MB
+    file_descriptors: int = DEFAULT_FILE_DESCRIPTORS
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -34,6 +34,14 @@
     assert settings.max_lease_s == 10.0
     assert settings.max_config_age_s == pytest.approx(4.4)
     assert settings.advice_address == "10.0.0.3:1"
+    assert (settings.memory_mb, settings.file_descriptors) == (200, 4096)
+
+
+def test_limits_of_the_vm_are_decoded() -> None:
+    """Guards against clients that are bounded by defaults where limits are set."""
+    limits = {"memoryMb": 300, "fileDescriptors": 4100}
+    settings = decode_settings({**GOOD, "limits": limits})
+    assert (settings.memory_mb, settings.file_descriptors) == (300, 4100)
 
 
 def test_all_findings_are_reported_together_with_their_places() -> None:
