Answer one request of operators in an iteration of the event loop

Cause: a page of metrics takes milliseconds. 300 clients that pipeline requests for it had 300 pages rendered in each iteration of the event loop. Change: requests at the operations listener take turns, one in an iteration.

--- a/packages/cell/src/briarrun_cell/operations.py
+++ b/packages/cell/src/briarrun_cell/operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from urllib.parse import unquote
@@ -46,9 +47,20 @@
         self._metrics = metrics
         self._explainer = explainer
         self._port = port
+        self._turn = asyncio.Lock()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a request; an unknown path has status 404."""
+        """Answer a request; an unknown path has status 404.
+
+        One request is answered in an iteration of the event loop: an answer takes
+        milliseconds, and several hundred clients may ask at once.
+        """
+        async with self._turn:
+            response = self._answer(request)
+            await asyncio.sleep(0)
+        return response
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
         if request.path == self._metrics_path:
             headers = (("Content-Type", "text/plain; version=0.0.4"),)
             return HttpResponse(200, self._metrics.render(), headers)
