Start no task in a failure domain under evacuation

Cause: the keys evacuate/<failure domain> of the configuration's topic were not read, so tasks went on starting there.

Change: Evacuations, a second listener of the topic's reader, keeps the set on every VM, and the ledger of the holder's term holds it. The planner leaves the workers out of placements, reservations and advice requests. A start order is checked right before it is sent or repeated: a run of which no order was sent is withdrawn without an attempt; one that may have started keeps its capacity until an inventory settles it. A new holder begins only with a view of the topic that is at most 2.5 s old. Reason "evacuated", gauges of failure domains and of workers left out, log lines of begin, end and withheld orders. The emulated cell writes and withdraws requests and reports such starts.

--- a/packages/cell/src/briarrun_cell/config_view.py
+++ b/packages/cell/src/briarrun_cell/config_view.py
@@ -5,6 +5,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import CellConfig
@@ -16,8 +17,20 @@
 _LOG = ComponentLog("config")
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationRecord:
+    """Request of the evacuation of a failure domain, or its withdrawal.
+
+    ``defect`` says what is wrong with the value of a request, if anything.
+    """
+
+    failure_domain: str
+    requested: bool
+    defect: str = ""
+
+
 class ConfigDecoder(ABC):
-    """Decoder of configuration records."""
+    """Decoder of the records of the configuration topic."""
 
     @abstractmethod
     def decode_config(self, record: Record) -> CellConfig | None:
@@ -26,6 +39,13 @@
         Raises ``DecodeError`` if the configuration cannot be read.
         """
 
+    @abstractmethod
+    def decode_evacuation(self, record: Record) -> EvacuationRecord | None:
+        """Return the request of an evacuation, or None if the record is of another kind.
+
+        Raises ``DecodeError`` if the record names no failure domain.
+        """
+
 
 class ConfigView(TopicListener):
     """The configuration with the highest version in the config topic.
--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -16,6 +16,7 @@
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
 from briarrun_cell.election import MAX_CLAIM_AGE_S, Election
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable, renewal_interval_s
+from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.explanation import JobExplanation
 from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
@@ -32,7 +33,7 @@
 from briarrun_cell.replicas import choose_replicas, is_replica, nearest_first
 from briarrun_cell.settings import CellSettings
 from briarrun_cell.stream import JobStreamListener
-from briarrun_cell.tail import TopicTail
+from briarrun_cell.tail import TopicListeners, TopicTail
 from briarrun_cell.write_relay import RecordRelay, SubmissionWriter
 
 CONFIG_WAIT_S = 1.0
@@ -66,6 +67,11 @@
 READY_CONFIG_AGE_S = 3.0
 """Age of the configuration above which a VM reports that it is not ready."""
 
+TAKEOVER_CONFIG_AGE_S = 2.5
+"""Maximum age of the configuration topic's view when a new holder begins to decide. An
+evacuation is in force 5 s after its request, and start orders are valid for 2 s. Long
+polls make the view of a reachable store up to 2 s old."""
+
 READY_VIEW_AGE_S = 3.0
 """Age of the job view above which a VM reports that it is not ready."""
 
@@ -162,6 +168,10 @@
         self.metrics = Metrics()
         self.table = JobTable()
         self.config = ConfigView(ports.config_decoder)
+        self._evacuations = Evacuations(ports.config_decoder)
+        self.metrics.evacuated_domains.set_function(
+            lambda: len(self._evacuations.failure_domains)
+        )
         lease_s = min(LEASE_S, settings.max_lease_s - 0.2)
         lease_durations = LeaseDurations(
             lease_s=lease_s,
@@ -174,7 +184,11 @@
         self._vms = EntryVmTable()
         store = ports.store
         self._config_tail = TopicTail(
-            store, Topic.CONFIG, self.config, clock, wait_s=CONFIG_WAIT_S
+            store,
+            Topic.CONFIG,
+            TopicListeners(self.config, self._evacuations),
+            clock,
+            wait_s=CONFIG_WAIT_S,
         )
         self._jobs_tail = TopicTail(
             store,
@@ -231,6 +245,8 @@
                 jobs_tail=self._jobs_tail,
                 registry=self._registry,
                 config=self.config,
+                evacuations=self._evacuations,
+                confirm_config=self._confirm_config,
                 vms=self._advice_vms,
                 lease_durations=lease_durations,
                 keep_final_s=settings.keep_final_s * 1.5,
@@ -279,6 +295,9 @@
     def _job_view_is_fresh(self) -> bool:
         return self._jobs_tail.age_s() <= READY_VIEW_AGE_S
 
+    async def _confirm_config(self) -> None:
+        await self._config_tail.wait_confirmed(TAKEOVER_CONFIG_AGE_S)
+
     async def _confirm_claims(self) -> None:
         await self._claims_tail.refresh(CLAIMS_REFRESH_TIMEOUT_S)
 
--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -27,7 +27,10 @@
 from briarrun_cell.decisions.ranking import FairShares, Rank, rank
 from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.decisions.turns import MAX_BLOCKED_STEPS, next_in_turn
-from briarrun_cell.decisions.wait_reasons import find_wait_reason
+from briarrun_cell.decisions.wait_reasons import (
+    find_wait_reason,
+    reason_without_advice,
+)
 from briarrun_cell.decisions.waiting import WaitReason
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
@@ -105,7 +108,12 @@
         """Plan one round: charge the runs to start, and collect the advice requests."""
         ledger = self._ledger
         now = ledger.clock.now()
-        alive = [w for w in ledger.workers_by_id.values() if w.takes_orders(now)]
+        alive: list[Worker] = []
+        evacuated: list[Worker] = []
+        for worker in ledger.workers_by_id.values():
+            if worker.takes_orders(now):
+                left = ledger.is_evacuated(worker)
+                (evacuated if left else alive).append(worker)
         quarantined = worst_in_quarantine(alive, now)
         left_out = set(quarantined)
         usable = [w for w in alive if w not in left_out]
@@ -117,6 +125,7 @@
             min(priorities, default=0),
             self._headroom,
             RenewalLimits.for_vms(self._count_vms()),
+            evacuated,
         )
         self._limits.refresh()
         plan = Plan()
@@ -191,7 +200,7 @@
         if advised:
             self._request_advice(step, step_rank, pool, round_, plan)
             if not step.advice.answered:
-                step.note_wait(WaitReason.ADVICE, round_.now)
+                step.note_wait(reason_without_advice(step, round_), round_.now)
                 return
         approved = approved_for(step, pool)
         need = resources_per_task(step)
--- a/packages/cell/src/briarrun_cell/decisions/planning_round.py
+++ b/packages/cell/src/briarrun_cell/decisions/planning_round.py
@@ -24,8 +24,9 @@
 class PlanningRound:
     """Workers of one round, and what its earlier decisions leave for the later ones.
 
-    ``usable`` and ``quarantined`` are the workers that take orders. ``largest`` is an
-    upper bound of the free amount of each resource on any of them.
+    ``usable`` and ``quarantined`` are the workers that take orders, without the
+    ``evacuated`` ones. ``largest`` is an upper bound of the free amount of each resource
+    on any of them.
     """
 
     now: float
@@ -34,6 +35,7 @@
     urgent_priority: int
     headroom: UrgentHeadroom
     renewal_limits: RenewalLimits
+    evacuated: list[Worker] = field(default_factory=list)
     largest: Resources = field(init=False)
     largest_is_exact: bool = True
     reserved: set[str] = field(default_factory=set)
--- a/packages/cell/src/briarrun_cell/decisions/wait_reasons.py
+++ b/packages/cell/src/briarrun_cell/decisions/wait_reasons.py
@@ -41,6 +41,14 @@
     return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
 
 
+def reason_without_advice(step: Step, round_: PlanningRound) -> WaitReason:
+    """Return why a step waits about which the advice service has not answered."""
+    askable = round_.pool_of(step) or round_.quarantined_of(step)
+    if not askable and in_pool(step, round_.evacuated):
+        return WaitReason.EVACUATED
+    return WaitReason.ADVICE
+
+
 def _lack_of_capacity(
     step: Step, count: int, approved: list[Worker], round_: PlanningRound
 ) -> WaitReason:
@@ -49,6 +57,9 @@
     free = [worker.free() for worker in {*approved, *quarantined}]
     if tasks_fit(step, count, free):
         return WaitReason.QUARANTINE
+    free += [worker.free() for worker in _evacuated_of(step, round_)]
+    if tasks_fit(step, count, free):
+        return WaitReason.EVACUATED
     return WaitReason.CAPACITY
 
 
@@ -60,9 +71,26 @@
         reachable = [*round_.pool_of(step), *round_.quarantined_of(step)]
         if any(w.incarnation_id not in step.advice.queried for w in reachable):
             return WaitReason.ADVICE
-    pool = approved_for(step, in_pool(step, known))
+    left_out = set(round_.evacuated)
+    others = [worker for worker in known if worker not in left_out]
+    pool = approved_for(step, in_pool(step, others))
+    capacities = [worker.entry.capacity for worker in pool]
+    if tasks_fit(step, count, capacities):
+        return WaitReason.WORKERS
+    capacities += [w.entry.capacity for w in _evacuated_of(step, round_)]
+    if tasks_fit(step, count, capacities):
+        return WaitReason.EVACUATED
     if not pool and step.job.queue.advice is not None:
         return WaitReason.NOT_APPROVED
-    if tasks_fit(step, count, (w.entry.capacity for w in pool)):
-        return WaitReason.WORKERS
     return WaitReason.SIZE
+
+
+def _evacuated_of(step: Step, round_: PlanningRound) -> list[Worker]:
+    """Return the workers that an evacuation takes from the step.
+
+    A worker about which the advice service was not asked counts as approved.
+    """
+    pool = in_pool(step, round_.evacuated)
+    approved = approved_for(step, pool)
+    queried = step.advice.queried
+    return [w for w in pool if w in approved or w.incarnation_id not in queried]
--- a/packages/cell/src/briarrun_cell/decisions/waiting.py
+++ b/packages/cell/src/briarrun_cell/decisions/waiting.py
@@ -25,6 +25,9 @@
     SIZE = "size"
     """Larger workers: the step would not fit if the approved ones were idle."""
 
+    EVACUATED = "evacuated"
+    """Workers outside the failure domains under evacuation."""
+
     CUSTOMER_LIMIT = "customer-limit"
     """Other tasks of the customer, which is at its limit."""
 
--- a/packages/cell/src/briarrun_cell/explanation.py
+++ b/packages/cell/src/briarrun_cell/explanation.py
@@ -31,6 +31,7 @@
     WaitReason.NOT_APPROVED: "workers that the advice service approves",
     WaitReason.WORKERS: "approved workers that are in quarantine or do not answer",
     WaitReason.SIZE: "larger workers; no approved one could hold it even if idle",
+    WaitReason.EVACUATED: "workers outside the failure domains under evacuation",
     WaitReason.CUSTOMER_LIMIT: "other tasks of the customer, which is at its limit",
     WaitReason.CAPACITY: "free capacity on its workers",
     WaitReason.QUARANTINE: (
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +13,7 @@
 from briarrun_cell.decisions.planner import Placement, Plan, Planner
 from briarrun_cell.election import HolderRole, HolderTerm
 from briarrun_cell.entry_vms import EntryVm
+from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.job_table import JobEntry, JobTable
 from briarrun_cell.journal import Journal
 from briarrun_cell.ledger import LeaseDurations, Ledger
@@ -57,7 +58,10 @@
 
 @dataclass(slots=True)
 class HolderDependencies:
-    """Objects and settings that a holder uses."""
+    """Objects and settings that a holder uses.
+
+    ``confirm_config`` waits until the view of the configuration topic is recent.
+    """
 
     store: Store
     workers: Workers
@@ -67,6 +71,8 @@
     jobs_tail: TopicTail
     registry: WorkerRegistry
     config: ConfigView
+    evacuations: Evacuations
+    confirm_config: Callable[[], Awaitable[None]]
     vms: Callable[[], list[EntryVm]]
     lease_durations: LeaseDurations
     keep_final_s: float
@@ -195,6 +201,7 @@
         if self._on_job in self._deps.table.listeners:
             self._deps.table.listeners.remove(self._on_job)
         self._deps.registry.on_change = None
+        self._deps.evacuations.on_change = None
         self._advice_dispatcher.close()
         self.waits.clear()
 
@@ -220,7 +227,10 @@
         end = await self._journal.fence()
         await deps.jobs_tail.wait_for_offset(end)
         await deps.config.wait_loaded()
+        await deps.confirm_config()
         ledger.set_config(deps.config.config)
+        deps.evacuations.on_change = self._on_evacuations
+        self._on_evacuations()
         await self._recover_jobs()
         deps.registry.on_change = self._on_registry
         self._on_registry()
@@ -293,6 +303,16 @@
             self._start_polling(worker)
         self.wake()
 
+    def _on_evacuations(self) -> None:
+        self.ledger.evacuated_domains = self._deps.evacuations.failure_domains
+        _LOG.info(
+            "failure domains under evacuation",
+            failure_domains=sorted(self.ledger.evacuated_domains),
+            workers=self.ledger.evacuated_workers(),
+            epoch=self.ledger.epoch,
+        )
+        self.wake()
+
     def _start_polling(self, worker: Worker) -> None:
         driver = WorkerPoller(
             worker,
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -73,6 +73,7 @@
         self.clock = clock
         self.epoch = epoch
         self.config = config
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.lease_durations = lease_durations
         self.spec_of = spec_of
         self._bounds = bounds or ProgressBounds(DEFAULT_RECORD_BYTES)
@@ -341,6 +342,17 @@
             if queue is not None:
                 job.queue = queue
 
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Return whether no task may start on the worker because of an evacuation."""
+        return worker.entry.failure_domain in self.evacuated_domains
+
+    def evacuated_workers(self) -> int:
+        """Return the number of registered workers on which no task may start."""
+        return sum(
+            worker.registered and self.is_evacuated(worker)
+            for worker in self.workers_by_id.values()
+        )
+
     def _cancel(self, job: Job) -> None:
         job.cancelled = True
         if not job.final:
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -77,6 +77,16 @@
             "Ends of runs that a worker forgot before the holder read them.",
             registry=registry,
         )
+        self.evacuated_domains = Gauge(
+            "briarrun_evacuated_failure_domains",
+            "Failure domains whose evacuation is requested, as this VM knows.",
+            registry=registry,
+        )
+        self.evacuated_workers = Gauge(
+            "briarrun_evacuated_workers",
+            "Workers that get no tasks because of an evacuation; on the holder.",
+            registry=registry,
+        )
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -86,6 +86,9 @@
                 self._ledger.stop(run, "the start was not answered")
                 self._guard.wake()
                 return
+            if self._ledger.is_evacuated(worker):
+                self._on_evacuated(run, step)
+                return
             outcome = await self._send_start(run, step)
             if outcome is OrderOutcome.UNKNOWN:
                 run.unanswered_starts += 1
@@ -139,6 +142,31 @@
             )
         return answer.outcome
 
+    def _on_evacuated(self, run: Run, step: Step) -> None:
+        """Send no further start order of a run to a failure domain under evacuation.
+
+        A run of which no order was sent is withdrawn. Another one may have been started
+        and goes on then, so it keeps its capacity until an inventory of its worker lists
+        it or shows that its orders have expired.
+        """
+        unsent = run.state is RunState.PLANNED
+        _LOG.info(
+            "start order not sent because of an evacuation",
+            job=run.task.job_id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker.worker_id,
+            failure_domain=run.worker.entry.failure_domain,
+            withdrawn=unsent,
+        )
+        if not unsent:
+            return
+        self._ledger.withdraw(run)
+        if step.spec.gang:
+            for other in step.runs():
+                self._ledger.stop(other, "another member is in an evacuated domain")
+        self._guard.wake()
+
     def _on_refused(self, run: Run, step: Step, outcome: OrderOutcome) -> None:
         _LOG.warning(
             "start order refused",
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from briarrun_cell.clock import Clock
@@ -49,6 +49,34 @@
         """Apply further records; ``sent_at`` is the time at which the read was sent."""
 
 
+class TopicListeners(TopicListener):
+    """Passes the records of a topic to several listeners.
+
+    A listener that fails keeps none of the others from the records.
+    """
+
+    def __init__(self, *listeners: TopicListener) -> None:
+        self._listeners = listeners
+
+    def on_snapshot(self, records: Sequence[Record], sent_at: float) -> None:
+        """Pass on a snapshot."""
+        self._pass_on(lambda each: each.on_snapshot(records, sent_at))
+
+    def on_records(self, records: Sequence[Record], sent_at: float) -> None:
+        """Pass on further records."""
+        self._pass_on(lambda each: each.on_records(records, sent_at))
+
+    def _pass_on(self, call: Callable[[TopicListener], None]) -> None:
+        failure: Exception | None = None
+        for listener in self._listeners:
+            try:
+                call(listener)
+            except Exception as error:  # Raised once all listeners were called.
+                failure = error
+        if failure is not None:
+            raise failure
+
+
 class TopicTail:
     """Reads one topic continuously and passes the records to a listener.
 
@@ -104,6 +132,12 @@
             self._read_now.set()
             await self._advanced.wait()
 
+    async def wait_confirmed(self, max_age_s: float) -> None:
+        """Wait until the view is at most ``max_age_s`` old."""
+        while self.age_s() > max_age_s:
+            self._read_now.set()
+            await self._advanced.wait()
+
     async def refresh(self, max_wait_s: float) -> None:
         """Wait until the view is up to date, at most ``max_wait_s``.
 
--- a/packages/cell/src/briarrun_cell/wait_monitor.py
+++ b/packages/cell/src/briarrun_cell/wait_monitor.py
@@ -46,6 +46,7 @@
             if step.reason == UNEXAMINED
         }
         summary = summarize(steps)
+        self._metrics.evacuated_workers.set(self._ledger.evacuated_workers())
         self._metrics.set_waits(summary.count_by_reason, summary.oldest_s_by_reason)
         if max(summary.oldest_s_by_reason.values()) <= LONG_WAIT_S:
             return
@@ -79,3 +80,4 @@
     def clear(self) -> None:
         """Set the metrics to 0."""
         self._metrics.set_waits({}, {})
+        self._metrics.evacuated_workers.set(0)
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from briarrun_cell.config_view import EvacuationRecord
 from briarrun_cell.model import EndKind, Queue, TaskId
 from briarrun_cell.ports import Record
 from briarrun_core.resources import Resources
 from briarrun_platform.decoding import PlatformDecoder, decode_job
 from briarrun_platform.workers import decode_inventory
+from briarrun_wire.decode import DecodeError
 
 QUEUE = Queue(name="q", host="h.example", path_prefix="/q/", pool="planner")
 JOB_ID = "5c0e7a21d94b36f8"
@@ -67,6 +69,31 @@
     assert config.guarded_pools == {"planner"}
 
 
+@pytest.mark.parametrize(
+    ("key", "value", "expected"),
+    [
+        ("evacuate/z-b", b"{}", EvacuationRecord("z-b", requested=True)),
+        ("evacuate/z/b", b'{"a": 1}', EvacuationRecord("z/b", requested=True)),
+        ("evacuate/z-b", None, EvacuationRecord("z-b", requested=False)),
+        ("config", b"{}", None),
+        ("evacuated/z-b", b"{}", None),
+    ],
+)
+def test_evacuation_is_decoded(
+    key: str, value: bytes | None, expected: EvacuationRecord | None
+) -> None:
+    """Guards against a request of an evacuation that is not seen as one."""
+    assert PlatformDecoder().decode_evacuation(Record(key, value)) == expected
+
+
+def test_evacuation_with_an_odd_value_is_a_request() -> None:
+    """Guards against a failure domain in use although its key asks to evacuate it."""
+    decoded = PlatformDecoder().decode_evacuation(Record("evacuate/z", b"[" * 99))
+    assert decoded is not None and decoded.requested and decoded.defect
+    with pytest.raises(DecodeError, match="no failure domain"):
+        PlatformDecoder().decode_evacuation(Record("evacuate/", b"{}"))
+
+
 def test_records_with_other_keys_are_no_configuration() -> None:
     """Guards against a record with another key being used as the configuration."""
     decoder = PlatformDecoder()
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from briarrun_cell.clock import LoopClock
-from briarrun_cell.config_view import ConfigDecoder
+from briarrun_cell.config_view import ConfigDecoder, EvacuationRecord
 from briarrun_cell.core import CellCore, CorePorts
 from briarrun_cell.frontend import Reply, RequestOutcome
 from briarrun_cell.model import (
@@ -35,12 +35,13 @@
 from briarrun_cell.settings import CellSettings
 from briarrun_core.resources import NOTHING, Resources
 from briarrun_wire.decode import DecodeError
-from tools.emulator.cell.fleet import FakeAdvisor, FakeWorker, Fleet
+from tools.emulator.cell.fleet import EVACUATION_S, FakeAdvisor, FakeWorker, Fleet
 from tools.emulator.cell.peers import DirectProxy, DirectRelay, DirectReplicas
 from tools.emulator.cell.store import FakeStore, StoreView
 
 POOL = "planner"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 
 CALL_DEADLINE_S = 3.0
 """Time after which a caller gives up."""
@@ -59,6 +60,16 @@
             return None
         return self.configs[int(record.value)]
 
+    def decode_evacuation(self, record: Record) -> EvacuationRecord | None:
+        """Return the request that the record holds; an odd value is a defect."""
+        if not record.key.startswith(EVACUATION_PREFIX):
+            return None
+        name = record.key.removeprefix(EVACUATION_PREFIX)
+        if not name:
+            raise DecodeError("the key names no failure domain")
+        defect = "" if record.value in (None, b"{}") else "odd value"
+        return EvacuationRecord(name, record.value is not None, defect)
+
     def decode_worker(self, worker_id: str, value: bytes) -> WorkerEntry:
         """Return the entry that the record names; raises ``DecodeError``."""
         try:
@@ -139,6 +150,7 @@
     customers: tuple[str, ...] = ("roster", "stalls")
     weight: float = 50.0
     store_limits: StoreLimits = StoreLimits()
+    failure_domains: tuple[str, ...] = ("fd1",)
 
 
 @dataclass
@@ -169,8 +181,10 @@
         With an interval, the VMs start one after the other, the last one first.
         """
         self.publish()
+        domains = self.options.failure_domains
         for number in range(self.options.workers):
-            self.add_worker(f"w{number}")
+            domain = domains[number % len(domains)]
+            self.add_worker(f"w{number}", failure_domain=domain)
         for number in range(self.options.vms):
             self.add_vm(f"vm{number}", latency_s=0.002 * number)
         names = list(self.vms_by_name)
@@ -219,14 +233,33 @@
         value = str(len(self.decoder.configs) - 1).encode()
         self.store.put(Topic.CONFIG, CONFIG_KEY, value)
 
-    def add_worker(self, worker_id: str, draining: bool = False) -> FakeWorker:
+    def evacuate(self, failure_domain: str, disturbed_s: float = 0.0) -> None:
+        """Request an evacuation as the operator does.
+
+        It must be in force ``EVACUATION_S`` later, plus the time for which the store is
+        disturbed.
+        """
+        self.store.put(Topic.CONFIG, EVACUATION_PREFIX + failure_domain, b"{}")
+        now = asyncio.get_running_loop().time()
+        self.fleet.evacuated_from.setdefault(
+            failure_domain, now + EVACUATION_S + disturbed_s
+        )
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Withdraw the request of an evacuation."""
+        self.store.put(Topic.CONFIG, EVACUATION_PREFIX + failure_domain, None)
+        self.fleet.evacuated_from.pop(failure_domain, None)
+
+    def add_worker(
+        self, worker_id: str, draining: bool = False, failure_domain: str = "fd1"
+    ) -> FakeWorker:
         """Start and register a worker."""
         entry = WorkerEntry(
             worker_id,
             1_000,
             f"{worker_id}:1",
             POOL,
-            "fd1",
+            failure_domain,
             self.options.capacity,
             ("a", "r1"),
             "r1",
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -33,6 +35,9 @@
 ORDER_LATENCY_S = 0.002
 MAX_LISTED_ENDS = 500
 
+EVACUATION_S = 5.0
+"""Time from the request of an evacuation after which no task may start there."""
+
 FRESH_CLOCK_S = 0.5
 """Time on the clock of a process that has just started again."""
 
@@ -108,6 +113,8 @@
     """Run tasks; ``violations`` lists every broken promise with its time.
 
     An order takes up to ``max_order_delay_s`` to its worker, so that polls overtake it.
+    ``evacuated_from`` holds, by failure domain, the time from which no task may start
+    there; ``starts_by_domain`` counts the starts.
     """
 
     def __init__(self, rng: random.Random, max_lease_s: float = 6.0) -> None:
@@ -124,6 +131,8 @@
         self.done_noted: set[TaskId] = set()
         self.done: set[TaskId] = set()
         self.starts = 0
+        self.starts_by_domain: Counter[str] = Counter()
+        self.evacuated_from: dict[str, float] = {}
         self.stops = 0
         self.first_start_by_job: dict[str, float] = {}
         self.looks = 0
@@ -426,6 +435,7 @@
         )
         worker.runs_by_id[key] = run
         self.starts += 1
+        self.starts_by_domain[worker.entry.failure_domain] += 1
         self.first_start_by_job.setdefault(order.task.job_id, self.now())
         loop = asyncio.get_running_loop()
         if step.gang:
@@ -443,6 +453,9 @@
             used = used + run.need
         if not (used + step.need).fits_in(worker.entry.capacity):
             self.report(f"{worker.entry.worker_id} is overcommitted by {task}")
+        domain = worker.entry.failure_domain
+        if self.now() > self.evacuated_from.get(domain, math.inf):
+            self.report(f"{task} was started in {domain}, which is evacuated")
         self.history.on_start(spec, task, order.run, worker.life, self.now())
         cancelled_at = self.cancelled_at.get(task.job_id)
         if cancelled_at is not None and self.now() > cancelled_at + 3.0:
--- a/tools/emulator/cell/holder_replay.py
+++ b/tools/emulator/cell/holder_replay.py
@@ -22,9 +22,11 @@
     HOLDER_REGISTRY_READ_PAUSE_S,
     LEASE_S,
     START_ORDER_VALIDITY_S,
+    TAKEOVER_CONFIG_AGE_S,
 )
 from briarrun_cell.election import HolderTerm
 from briarrun_cell.entry_vms import EntryVm
+from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.holder import HolderDependencies, HolderSession
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.ledger import LeaseDurations
@@ -39,7 +41,7 @@
 from briarrun_cell.ports import OrderOutcome, Record, StartOrder, Topic
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.stream import JobStreamListener
-from briarrun_cell.tail import TopicTail
+from briarrun_cell.tail import TopicListeners, TopicTail
 from tools.emulator.cell.advice_service import EmulatedAdvice
 from tools.emulator.cell.cell import CONFIG_KEY, FakeDecoder
 from tools.emulator.cell.customers import usual_customers
@@ -162,7 +164,9 @@
         store = StoreView(self._store)
         config = ConfigView(self._decoder)
         registry = WorkerRegistry(self._decoder, clock, LONGEST_LEASE_S)
-        config_tail = TopicTail(store, Topic.CONFIG, config, clock, wait_s=1.0)
+        evacuations = Evacuations(self._decoder)
+        listeners = TopicListeners(config, evacuations)
+        config_tail = TopicTail(store, Topic.CONFIG, listeners, clock, wait_s=1.0)
         jobs_tail = TopicTail(
             store,
             Topic.JOBS,
@@ -193,6 +197,8 @@
             jobs_tail=jobs_tail,
             registry=registry,
             config=config,
+            evacuations=evacuations,
+            confirm_config=lambda: config_tail.wait_confirmed(TAKEOVER_CONFIG_AGE_S),
             vms=lambda: vms,
             lease_durations=LeaseDurations(
                 LEASE_S, START_ORDER_VALIDITY_S, LONGEST_LEASE_S
