Use cold workers after warm ones, and learn nothing from them

Cause: workers that come back are slow for a while (coldRemainingMs of their entries), and the holder treated them as warm until it had seen slow runs, and then as slow for long after they were warm.

Change: the entry carries the time, and the registry the time at which the record was first read, so that repeated records do not extend it. Cold workers rank with slow ones; a worker that is both comes last. Runs that began on a cold worker change neither its slowness nor the learnt run times of the queue. Hints that are out of range are cut and make no entry unreadable.

--- a/packages/cell/src/briarrun_cell/decisions/fitting.py
+++ b/packages/cell/src/briarrun_cell/decisions/fitting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
@@ -78,11 +79,15 @@
 
 
 def fit(
-    step: Step, indexes: list[int], available_by_worker: Mapping[Worker, Resources]
+    step: Step,
+    indexes: list[int],
+    available_by_worker: Mapping[Worker, Resources],
+    now: float = math.inf,
 ) -> list[tuple[int, Worker]]:
     """Return a worker for each task, up to the first task that does not fit.
 
-    Fills the most preferred worker first, then the next one.
+    Fills the most preferred worker first, then the next one. ``now`` is the time of the
+    starts; without it, all workers count as warm.
     """
     need = resources_per_task(step)
     bound = step.spec.max_per_worker
@@ -91,7 +96,12 @@
         held = worker.count_by_step.get(step.step_id, 0)
         if need.fits_in(available) and (not bound or held < bound):
             heap.append(
-                (preference(step, worker, need, available), order, worker, available)
+                (
+                    preference(step, worker, need, available, now),
+                    order,
+                    worker,
+                    available,
+                )
             )
     heapq.heapify(heap)
     added: dict[Worker, int] = {}
@@ -106,7 +116,7 @@
         held = worker.count_by_step.get(step.step_id, 0) + added[worker]
         if need.fits_in(remaining) and (not bound or held < bound):
             entry = (
-                preference(step, worker, need, remaining),
+                preference(step, worker, need, remaining, now),
                 order,
                 worker,
                 remaining,
@@ -116,18 +126,22 @@
 
 
 def preference(
-    step: Step, worker: Worker, need: Resources, available: Resources
-) -> tuple[bool, bool, bool, float]:
+    step: Step, worker: Worker, need: Resources, available: Resources, now: float
+) -> tuple[bool, int, bool, float]:
     """Return the sort key of a worker; the lowest is preferred.
 
-    Workers on which the step has not failed come first, then those that are not slow,
-    then those in the rack of the data, then the fullest ones.
+    Workers on which the step has not failed come first, then those that are neither slow
+    nor cold, then those in the rack of the data, then the fullest ones. Steps choose in
+    the order of their rank, so urgent ones get the warm workers first.
+
+    Load pattern: workers come back after an outage, and the first runs on them take
+    several times as long.
     """
     far = bool(step.spec.data_rack) and worker.entry.rack != step.spec.data_rack
     remaining = (available - need).dominant_fraction(worker.entry.capacity)
     return (
         worker.worker_id in step.failed_on,
-        worker.health.slowness > SLOW_WORKER_RATIO,
+        (worker.health.slowness > SLOW_WORKER_RATIO) + worker.is_cold(now),
         far,
         remaining,
     )
--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -381,6 +381,7 @@
             step,
             indexes,
             {w: round_.available(w, headroom=headroom) for w in allowed},
+            round_.now,
         )
 
     def _mark_blocked(
--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -193,6 +193,11 @@
 
     ``born_ms`` is the start time of the worker process. It distinguishes incarnations
     with the same id. A suspended worker gets no new runs.
+
+    ``cold_s`` is the time for which the worker was still slow when the entry was
+    written, ``remaining_s`` the minimum time for which it then stayed; None if that is
+    not known. ``read_at`` is the time on the clock of this process at which the entry was
+    read.
     """
 
     worker_id: str
@@ -205,6 +210,14 @@
     rack: str
     draining: bool
     suspended: bool = False
+    cold_s: float = 0.0
+    remaining_s: float | None = None
+    read_at: float = 0.0
+
+    @property
+    def cold_until(self) -> float:
+        """Time until which the worker is slow because it started a short time ago."""
+        return self.read_at + self.cold_s if self.cold_s > 0 else float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -84,7 +84,8 @@
         if report.percent != run.percent:
             step = self._ledger.step_of(run.task)
             gained = report.percent - run.percent
-            if step is not None and not step.spec.service and gained > 0:
+            warm = run.worker.entry.cold_until <= run.percent_at
+            if warm and step is not None and not step.spec.service and gained > 0:
                 run.worker.health.on_progress(
                     now - run.percent_at, step.spec.estimated_ms / 1000 * gained / 100
                 )
@@ -198,7 +199,9 @@
         self, worker: Worker, step: Step, run: Run | None, kind: EndKind, now: float
     ) -> None:
         if kind is EndKind.DONE and run is not None:
-            estimated_s = step.spec.estimated_ms / 1000
+            # How long a run took on a cold worker says nothing about later runs.
+            warm = run.since >= worker.entry.cold_until
+            estimated_s = step.spec.estimated_ms / 1000 if warm else 0.0
             if not run.checkpoint:
                 worker.health.on_done(now - run.since, estimated_s)
             if not run.resumed:
--- a/packages/cell/src/briarrun_cell/registry.py
+++ b/packages/cell/src/briarrun_cell/registry.py
@@ -42,6 +42,7 @@
         self._clock = clock
         self._retention_s = retention_s
         self.by_id: dict[str, WorkerEntry] = {}
+        self._read_at_by_id: dict[str, tuple[int, float]] = {}
         self._left_by_id: dict[str, tuple[float, WorkerEntry]] = {}
         self._unreadable = UnreadableRecords(Topic.WORKERS, _LOG)
         self.on_change: Callable[[], None] | None = None
@@ -74,7 +75,7 @@
                     self.by_id[record.key] = replace(known, suspended=True)
                 continue
             self._unreadable.clear(record.key)
-            self.by_id[record.key] = entry
+            self.by_id[record.key] = replace(entry, read_at=self._read_at(record))
             self._left_by_id.pop(record.key, None)
         if self.on_change is not None:
             self.on_change()
@@ -87,7 +88,15 @@
         }
         return [entry for _, entry in self._left_by_id.values()]
 
+    def _read_at(self, record: Record) -> float:
+        """Return the time at which a record was first read; snapshots repeat records."""
+        known = self._read_at_by_id.get(record.key)
+        if known is None or known[0] != record.offset:
+            known = self._read_at_by_id[record.key] = (record.offset, self._clock.now())
+        return known[1]
+
     def _leave(self, worker_id: str) -> None:
+        self._read_at_by_id.pop(worker_id, None)
         entry = self.by_id.pop(worker_id, None)
         if entry is not None:
             self._left_by_id[worker_id] = (self._clock.now(), entry)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -193,6 +193,10 @@
             and now - self.contact_at <= MAX_CONTACT_AGE_S
         )
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the worker is still slow after its start."""
+        return now < self.entry.cold_until
+
     def quarantined(self, now: float) -> bool:
         """Return whether other workers are to be used, because of failed runs."""
         return now < self.health.quarantined_until
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -13,7 +13,7 @@
 from briarrun_core.resources import Resources
 from briarrun_platform.decoding import PlatformDecoder, decode_job
 from briarrun_platform.workers import decode_inventory
-from briarrun_wire.decode import DecodeError
+from briarrun_wire.decode import MAX_DURATION_S, DecodeError
 
 QUEUE = Queue(name="q", host="h.example", path_prefix="/q/", pool="planner")
 JOB_ID = "5c0e7a21d94b36f8"
@@ -123,6 +123,26 @@
     assert (entry.rack, entry.born_ms, entry.draining) == ("r1-3", 17, False)
 
 
+@pytest.mark.parametrize(
+    ("value", "cold_s", "remaining_s"),
+    [
+        (None, 0.0, None),
+        (2500, 2.5, 2.5),
+        (0.5, 0.0005, 0.0005),
+        (-3, 0.0, 0.0),
+        (1e300, MAX_DURATION_S, MAX_DURATION_S),
+    ],
+)
+def test_times_of_a_worker_entry_are_decoded(
+    value: float | None, cold_s: float, remaining_s: float | None
+) -> None:
+    """Guards against a hint that is lost, or that makes an entry unreadable."""
+    times = {"coldRemainingMs": value, "remainingMs": value}
+    document = json.dumps({**GOOD_WORKER, **times}).encode()
+    entry = PlatformDecoder().decode_worker("i-1", document)
+    assert (entry.cold_s, entry.remaining_s) == (cold_s, remaining_s)
+
+
 @pytest.mark.parametrize(
     "change",
     [
