Move runs that save their progress off workers that will be gone

Cause: a worker that is taken back drains with a notice of some seconds (remainingMs of its entry). Runs that are longer lost all their work, and the holder learnt of it only when the leases had lapsed.

Change: decisions/departures.py chooses, in the review of runs, those that would end too late and save their progress. The time left of a run follows from its pace. Stops have a bounded set of reasons (StopReason) and a counter by reason, briarrun_stopped_runs_total. The emulated workers save progress at a stop and count lost work.

Tests that gave ledger.stop a free text give it a reason now; their checks are unchanged.

--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -36,7 +36,7 @@
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.workers import Run, Worker, worst_in_quarantine
-from briarrun_core.resources import NOTHING
+from briarrun_core.resources import NOTHING, Resources
 
 MAX_RESERVING_GANGS = 2
 """Maximum number of waiting gangs with reserved workers, by rank."""
@@ -104,6 +104,10 @@
         self._limits = CustomerLimits(ledger)
         self.rates = ApprovalRates()
 
+    def kept_on(self, worker: Worker) -> Resources:
+        """Return the resources of a worker that less urgent tasks leave free."""
+        return self._headroom.kept_on(worker)
+
     def plan(self) -> Plan:
         """Plan one round: charge the runs to start, and collect the advice requests."""
         ledger = self._ledger
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -10,6 +10,7 @@
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
+from briarrun_cell.decisions.departures import Departure, Departures
 from briarrun_cell.decisions.planner import Placement, Plan, Planner
 from briarrun_cell.election import HolderRole, HolderTerm
 from briarrun_cell.entry_vms import EntryVm
@@ -26,7 +27,7 @@
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.wait_monitor import WAIT_REPORT_INTERVAL_S, WaitMonitor
-from briarrun_cell.workers import Worker
+from briarrun_cell.workers import StopReason, Worker
 
 ROUND_PAUSE_S = 0.004
 """Minimum pause before a scheduling round, so that one round handles several events."""
@@ -147,6 +148,7 @@
         self.waits = WaitMonitor(self.ledger, deps.metrics, deps.table)
         self._sender = OrderSender(deps.workers, self.ledger, deps.clock, self)
         self._planner = Planner(self.ledger, lambda: len(deps.vms()))
+        self._departures = Departures(self.ledger, self._planner.kept_on)
         self._advice_dispatcher = AdviceDispatcher(
             deps.clock, deps.vms, deps.proxy, self._planner.rates, self.wake
         )
@@ -304,13 +306,15 @@
         self.wake()
 
     def _on_evacuations(self) -> None:
+        before = self.ledger.evacuated_domains
         self.ledger.evacuated_domains = self._deps.evacuations.failure_domains
-        _LOG.info(
-            "failure domains under evacuation",
-            failure_domains=sorted(self.ledger.evacuated_domains),
-            workers=self.ledger.evacuated_workers(),
-            epoch=self.ledger.epoch,
-        )
+        if self.ledger.evacuated_domains != before:
+            _LOG.info(
+                "failure domains under evacuation",
+                failure_domains=sorted(self.ledger.evacuated_domains),
+                workers=self.ledger.evacuated_workers(),
+                epoch=self.ledger.epoch,
+            )
         self.wake()
 
     def _start_polling(self, worker: Worker) -> None:
@@ -367,6 +371,9 @@
         for reason in self.ledger.given_up:
             self._deps.metrics.observe_requeue(reason)
         self.ledger.given_up.clear()
+        for stop_reason in self.ledger.stop_reasons:
+            self._deps.metrics.observe_stop(stop_reason)
+        self.ledger.stop_reasons.clear()
         if self.ledger.end_gaps:
             self._deps.metrics.observe_end_gap(self.ledger.end_gaps)
             self.ledger.end_gaps = 0
@@ -387,12 +394,38 @@
             )
 
     def _review_runs(self) -> None:
-        """Stop incomplete gangs, stalled runs and runs of finished jobs."""
+        """Stop incomplete gangs, stalled runs, and runs of finished jobs.
+
+        Also stops runs that save their progress and whose worker will be gone.
+        """
         self.ledger.stop_broken_gangs()
         self.ledger.stop_runs_of_finished_jobs()
         for run in self.ledger.find_stalled():
             run.worker.health.quarantine(self._deps.clock.now())
-            self.ledger.stop(run, "its progress stands still")
+            self.ledger.stop(run, StopReason.STALLED)
+        self._stop_departing(self._departures.choose())
+
+    def _stop_departing(self, departures: list[Departure]) -> None:
+        """Stop runs whose workers will be gone before their end."""
+        if departures:
+            _LOG.info(
+                "stopping runs whose workers will be gone",
+                runs=[
+                    {
+                        "task": run.task,
+                        "run": run.number,
+                        "worker": run.worker.worker_id,
+                        "left_ms": round(each.left_s * 1000),
+                        "fits_elsewhere": each.fits_elsewhere,
+                    }
+                    for each in departures
+                    for run in each.runs
+                ],
+                epoch=self.ledger.epoch,
+            )
+        for each in departures:
+            for run in each.runs:
+                self.ledger.stop(run, StopReason.DEPARTURE)
 
     def _execute(self, plan: Plan) -> None:
         for request in plan.advice_requests:
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -21,7 +21,7 @@
 )
 from briarrun_cell.ports import DEFAULT_RECORD_BYTES
 from briarrun_cell.progress_size import ProgressBounds
-from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
+from briarrun_cell.workers import GiveUpReason, Run, RunState, StopReason, Worker
 from briarrun_core.resources import NOTHING, Resources
 
 RUN_BITS = 20
@@ -56,7 +56,8 @@
     """State of the cell during one term of the holder.
 
     ``stops`` collects the runs to be stopped, ``ended`` the reported ends of runs with
-    their workers, ``given_up`` the reasons for which runs were given up, ``end_gaps`` the
+    their workers, ``stop_reasons`` the reasons of stops that are not counted yet,
+    ``given_up`` the reasons for which runs were given up, ``end_gaps`` the
     number of ends that workers forgot unread, and ``dirty`` the ids of jobs whose
     progress must be stored.
     """
@@ -82,6 +83,7 @@
         self.usage_by_customer: dict[str, Resources] = {}
         self.stops: list[Run] = []
         self.ended: list[tuple[str, EndReport]] = []
+        self.stop_reasons: list[StopReason] = []
         self.given_up: list[GiveUpReason] = []
         self.end_gaps = 0
         self.dirty: set[str] = set()
@@ -297,7 +299,7 @@
                 if any(self.assignment_is_uncertain(step, i) for i in step.pending):
                     continue
                 for run in step.runs():
-                    self.stop(run, "the gang is incomplete")
+                    self.stop(run, StopReason.GANG_INCOMPLETE)
 
     # Jobs
 
@@ -369,7 +371,7 @@
                 # The other members end at the same time and need no stop order.
                 continue
             for run in step.runs():
-                self.stop(run, f"the job is {state}")
+                self.stop(run, StopReason.JOB_FINAL)
 
     def stop_runs_of_finished_jobs(self) -> None:
         """Stop the remaining runs of jobs that ended ``FINISHED_JOB_GRACE_S`` ago."""
@@ -379,7 +381,7 @@
                 continue
             for step in job.steps_by_id.values():
                 for run in step.runs():
-                    self.stop(run, "the job is final")
+                    self.stop(run, StopReason.JOB_FINAL)
 
     # Runs
 
@@ -486,7 +488,7 @@
         self.drop_run(run)
         self.requeue(run.task, run.checkpoint)
 
-    def stop(self, run: Run, reason: str) -> None:
+    def stop(self, run: Run, reason: StopReason) -> None:
         """Schedule a run to be stopped; it keeps its resources until its end is known."""
         if run.state is RunState.PLANNED:
             self.withdraw(run)
@@ -496,6 +498,7 @@
             run.since = self.clock.now()
             run.answered_at = None
             self.stops.append(run)
+            self.stop_reasons.append(reason)
 
     def await_inventory(self, run: Run, reason: str) -> None:
         """Keep a run that can no longer start until the next inventory lists its end.
@@ -515,6 +518,8 @@
             run.state = RunState.RUNNING
             run.since = now
             run.percent_at = now
+            if not run.resumed:
+                run.base_percent, run.base_at = 0, now
         job = self.jobs_by_id.get(run.task.job_id)
         if job is not None:
             self.mark_job_started(job)
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -72,6 +72,12 @@
             ("reason",),
             registry=registry,
         )
+        self.stopped_runs = Counter(
+            "briarrun_stopped_runs",
+            "Runs that were ordered to stop, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.end_gaps = Counter(
             "briarrun_end_gaps",
             "Ends of runs that a worker forgot before the holder read them.",
@@ -138,6 +144,10 @@
         """Count a run that was given up so that its task starts again."""
         self.requeued_runs.labels(reason).inc()
 
+    def observe_stop(self, reason: str) -> None:
+        """Count a run that was ordered to stop."""
+        self.stopped_runs.labels(reason).inc()
+
     def observe_end_gap(self, ends: int) -> None:
         """Count ends of runs that a worker forgot before they were read."""
         self.end_gaps.inc(ends)
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -13,7 +13,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ports import OrderOutcome, StartOrder, Workers
 from briarrun_cell.reconciler import InventoryReconciler
-from briarrun_cell.workers import CLOCK_DRIFT, Run, RunState, Worker
+from briarrun_cell.workers import CLOCK_DRIFT, Run, RunState, StopReason, Worker
 
 ORDER_TIMEOUT_S = 0.4
 """Timeout of an order, after which it is sent again."""
@@ -83,7 +83,7 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             if run.unanswered_starts >= MAX_START_ATTEMPTS:
-                self._ledger.stop(run, "the start was not answered")
+                self._ledger.stop(run, StopReason.START_NOT_ANSWERED)
                 self._guard.wake()
                 return
             if self._ledger.is_evacuated(worker):
@@ -164,7 +164,7 @@
         self._ledger.withdraw(run)
         if step.spec.gang:
             for other in step.runs():
-                self._ledger.stop(other, "another member is in an evacuated domain")
+                self._ledger.stop(other, StopReason.MEMBER_EVACUATED)
         self._guard.wake()
 
     def _on_refused(self, run: Run, step: Step, outcome: OrderOutcome) -> None:
@@ -188,7 +188,7 @@
             self._ledger.await_inventory(run, "its worker has ended it before")
         elif run.unanswered_starts:
             # An earlier order that was not answered may still be carried out.
-            self._ledger.stop(run, "an earlier start order is unsettled")
+            self._ledger.stop(run, StopReason.START_UNSETTLED)
         else:
             if outcome is OrderOutcome.BAD_TICKET:
                 # A worker may know the terms of a queue before the holder does.
@@ -205,7 +205,7 @@
             self._ledger.withdraw(run)
             if step.spec.gang:
                 for other in step.runs():
-                    self._ledger.stop(other, "another member was refused")
+                    self._ledger.stop(other, StopReason.MEMBER_REFUSED)
         self._guard.wake()
 
     async def stop(self, run: Run) -> None:
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -15,7 +15,7 @@
     JobState,
     RunReport,
 )
-from briarrun_cell.workers import GiveUpReason, Run, RunState, Worker
+from briarrun_cell.workers import GiveUpReason, Run, RunState, StopReason, Worker
 from briarrun_core.resources import NOTHING
 
 MAX_MISSING_POLLS = 2
@@ -81,6 +81,8 @@
             self._ledger.on_started(run)
         if report.checkpoint:
             run.checkpoint = report.checkpoint
+        if run.base_percent is None:
+            run.base_percent, run.base_at = report.percent, now
         if report.percent != run.percent:
             step = self._ledger.step_of(run.task)
             gained = report.percent - run.percent
@@ -117,7 +119,7 @@
             worker.charge(unwanted)
             used = self._ledger.usage_by_customer.get(unwanted.customer, NOTHING)
             self._ledger.usage_by_customer[unwanted.customer] = used + need
-            self._ledger.stop(unwanted, "the task is not wanted")
+            self._ledger.stop(unwanted, StopReason.NOT_WANTED)
             return
         others = [run for run in step.active.get(task.ordinal, [])]
         run = self._ledger.charge(
@@ -125,19 +127,20 @@
         )
         run.answered_at = self._ledger.clock.now()
         run.checkpoint = report.checkpoint or run.checkpoint
-        run.percent = report.percent
+        run.percent = run.base_percent = report.percent
+        run.base_at = run.percent_at
         run.resumed = run.listed = True
         # Further orders of the earlier holder may be on their way.
         run.unanswered_starts = 1
         self._ledger.mark_job_started(step.job)
         if step.job.final or task.ordinal in step.progress.done:
-            self._ledger.stop(run, "the task is not wanted")
+            self._ledger.stop(run, StopReason.NOT_WANTED)
         elif others and not step.spec.duplicates_allowed:
-            self._ledger.stop(run, "the task runs elsewhere")
+            self._ledger.stop(run, StopReason.RUNS_ELSEWHERE)
         elif step.spec.gang and any(
             other.number != report.run for other in step.runs()
         ):
-            self._ledger.stop(run, "the gang has another run")
+            self._ledger.stop(run, StopReason.GANG_HAS_ANOTHER_RUN)
 
     def _check_missing(self, run: Run, inventory: Inventory, sent_at: float) -> None:
         """Handle a run that the inventory lists neither as running nor as ended."""
@@ -227,7 +230,7 @@
         step.pending.difference_update(done)
         if not step.spec.gang:
             for other in list(step.active.get(end.task.ordinal, [])):
-                self._ledger.stop(other, "another copy is done")
+                self._ledger.stop(other, StopReason.COPY_DONE)
         job = step.job
         if not job.final and job.all_done:
             self._ledger.finish(job, JobState.COMPLETED)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -61,6 +61,23 @@
     WORKER_ENDED = "worker ended"
 
 
+class StopReason(StrEnum):
+    """Why a run is ordered to stop."""
+
+    JOB_FINAL = "the job is final"
+    NOT_WANTED = "the task is not wanted"
+    RUNS_ELSEWHERE = "the task runs elsewhere"
+    COPY_DONE = "another copy is done"
+    GANG_INCOMPLETE = "the gang is incomplete"
+    GANG_HAS_ANOTHER_RUN = "the gang has another run"
+    MEMBER_REFUSED = "another member was refused"
+    MEMBER_EVACUATED = "another member is in an evacuated domain"
+    START_NOT_ANSWERED = "the start was not answered"
+    START_UNSETTLED = "an earlier start order is unsettled"
+    STALLED = "its progress stands still"
+    DEPARTURE = "its worker will be gone"
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """Run of a task on a worker; times are in seconds on the holder's clock.
@@ -70,6 +87,8 @@
     no start order of the run is carried out. ``answered_at`` is the time at which the
     last order was answered. ``resumed`` tells whether the run started from a checkpoint,
     ``listed`` whether an inventory of the worker's present life has listed the run.
+    ``base_percent`` and ``base_at`` are the first known progress and its time; None
+    if none is known yet, since a resumed run starts with some.
     """
 
     task: TaskId
@@ -85,6 +104,8 @@
     answered_at: float | None = None
     percent: int = 0
     percent_at: float = 0.0
+    base_percent: int | None = None
+    base_at: float = 0.0
     checkpoint: str = ""
     resumed: bool = False
     listed: bool = False
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -29,7 +29,7 @@
 from briarrun_cell.ports import StartOrder, WorkerAnswer, Workers
 from briarrun_cell.reconciler import InventoryReconciler
 from briarrun_cell.records import JobProgress, StepProgress
-from briarrun_cell.workers import Run, RunState, Worker, worst_in_quarantine
+from briarrun_cell.workers import Run, RunState, StopReason, Worker, worst_in_quarantine
 from briarrun_core.resources import Resources
 
 TERMS = LeaseDurations(lease_s=3.0, start_s=2.0, longest_s=9.0)
@@ -183,7 +183,7 @@
     ledger = make_ledger(1)
     job(ledger, "j1")
     (run,) = started(ledger)
-    ledger.stop(run, "test")
+    ledger.stop(run, StopReason.JOB_FINAL)
     report = RunReport(run.task, run.number, "", 10, 0.0)
     poll(ledger, run.worker, running=(report,))
     assert run.worker.used == run.need
@@ -228,7 +228,7 @@
     job(ledger, "j1", StepSpec(count=3, need=Resources(1000, 1), estimated_ms=10))
     runs = started(ledger)
     assert len(runs) == 2
-    ledger.stop(runs[0], "test")
+    ledger.stop(runs[0], StopReason.JOB_FINAL)
     assert started(ledger) == []
 
 
--- a/tests/cell/test_overtaken_orders.py
+++ b/tests/cell/test_overtaken_orders.py
@@ -11,7 +11,7 @@
 from briarrun_cell.model import EndKind, EndReport, RunReport, StepSpec, WorkerEntry
 from briarrun_cell.orders import OrderSender
 from briarrun_cell.ports import OrderOutcome, StartOrder, WorkerAnswer, Workers
-from briarrun_cell.workers import GiveUpReason, Run, RunState
+from briarrun_cell.workers import GiveUpReason, Run, RunState, StopReason
 from briarrun_core.resources import Resources
 from tests.cell.rounds import step_of
 from tests.cell.test_ledger import ManualClock, entry, job, make_ledger, poll, started
@@ -75,7 +75,7 @@
     if order == "stop":
         run.state = RunState.STARTING
         ledger.on_started(run)
-        ledger.stop(run, "cancelled")
+        ledger.stop(run, StopReason.JOB_FINAL)
         sending = asyncio.create_task(sender.stop(run))
     else:
         sending = asyncio.create_task(sender.start(run, placement.step))
@@ -103,7 +103,7 @@
     (run,) = started(ledger)
     run.unanswered_starts = 1
     if order == "stop":
-        ledger.stop(run, "cancelled")
+        ledger.stop(run, StopReason.JOB_FINAL)
         if settled:
             ledger.stops.clear()
             sender = OrderSender(_Slow(), ledger, ledger.clock, Guard())
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -6,7 +6,7 @@
 import json
 import random
 from collections.abc import Awaitable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from briarrun_cell.clock import LoopClock
 from briarrun_cell.config_view import ConfigDecoder, EvacuationRecord
@@ -268,6 +268,14 @@
         self.register(entry)
         return self.fleet.add(entry)
 
+    def preempt(self, worker: FakeWorker, notice_s: float = 5.5) -> None:
+        """Announce the end of a worker, and end it when the notice is over."""
+        self.register(replace(worker.entry, draining=True, remaining_s=notice_s))
+        loop = asyncio.get_running_loop()
+        loop.call_later(notice_s, self.fleet.crash, worker, True)
+        worker_id = worker.entry.worker_id
+        loop.call_later(notice_s, self.store.put, Topic.WORKERS, worker_id, None)
+
     def register(self, entry: WorkerEntry) -> None:
         """Write a worker's entry as the worker does."""
         self.decoder.entries.append(entry)
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -71,6 +71,7 @@
     need: Resources
     began_at: float
     run_s: float
+    saved_s: float = 0.0
     timer: asyncio.TimerHandle | None = None
     stopping: bool = False
 
@@ -114,7 +115,9 @@
 
     An order takes up to ``max_order_delay_s`` to its worker, so that polls overtake it.
     ``evacuated_from`` holds, by failure domain, the time from which no task may start
-    there; ``starts_by_domain`` counts the starts.
+    there; ``starts_by_domain`` counts the starts. A stop saves the progress of steps
+    that save it; ``lost_core_s`` is the work of runs that ended otherwise without being
+    done.
     """
 
     def __init__(self, rng: random.Random, max_lease_s: float = 6.0) -> None:
@@ -137,6 +140,7 @@
         self.first_start_by_job: dict[str, float] = {}
         self.looks = 0
         self.max_order_delay_s = 0.0
+        self.lost_core_s = 0.0
         self._connected_by_address: dict[str, FakeWorker] = {}
 
     def now(self) -> float:
@@ -161,6 +165,7 @@
         for run in worker.runs_by_id.values():
             if run.timer is not None:
                 run.timer.cancel()
+            self._lose(run)
         worker.runs_by_id.clear()
         worker.ended.clear()
         worker.unacknowledged_by_number.clear()
@@ -361,7 +366,14 @@
     def _percent(self, worker: FakeWorker, run: _Run) -> int:
         if worker.faults.hangs:
             return 0
-        return min(99, int(100 * (self.now() - run.began_at) / max(run.run_s, 0.01)))
+        return min(99, int(100 * self._done_s(run) / max(run.run_s, 0.01)))
+
+    def _done_s(self, run: _Run) -> float:
+        return run.saved_s + self.now() - run.began_at
+
+    def _lose(self, run: _Run) -> None:
+        """Count the work of a run that is neither done nor saved."""
+        self.lost_core_s += run.need.cores / 1000 * (self.now() - run.began_at)
 
     def _poll(
         self,
@@ -432,6 +444,7 @@
             step.need,
             self.now(),
             run_s * worker.faults.slow_factor,
+            int(order.checkpoint or 0) / 1000,
         )
         worker.runs_by_id[key] = run
         self.starts += 1
@@ -441,7 +454,8 @@
         if step.gang:
             self._gather_gang(worker, run, step.count)
         elif not worker.faults.hangs and not step.service:
-            run.timer = loop.call_later(run.run_s, self._finish, worker, run)
+            left_s = max(0.0, run.run_s - run.saved_s)
+            run.timer = loop.call_later(left_s, self._finish, worker, run)
         return OrderOutcome.DONE
 
     def _check_start(
@@ -491,7 +505,8 @@
             for worker, run in members:
                 if run.timer is not None:
                     run.timer.cancel()
-                run.timer = loop.call_later(run.run_s, self._finish, worker, run)
+                left_s = max(0.0, run.run_s - run.saved_s)
+                run.timer = loop.call_later(left_s, self._finish, worker, run)
         else:
             started.timer = loop.call_later(
                 GANG_WAIT_S, self._end, worker, started, EndKind.GANG_INCOMPLETE
@@ -518,7 +533,9 @@
             loop.call_later(STOP_S, self._end, worker, run, EndKind.STOPPED)
         return OrderOutcome.DONE
 
-    def _end(self, worker: FakeWorker, run: _Run, kind: EndKind) -> None:
+    def _end(
+        self, worker: FakeWorker, run: _Run, kind: EndKind, saved: bool = False
+    ) -> None:
         if worker.runs_by_id.pop((run.task, run.number), None) is None:
             return
         if run.timer is not None:
@@ -526,24 +543,29 @@
         highest = worker.highest_by_task.get(run.task, 0)
         worker.highest_by_task[run.task] = max(highest, run.number)
         worker.count += 1
-        worker.ended.append(EndReport(worker.count, run.task, run.number, kind, ""))
-        worker.news.set()
         spec = self.specs_by_id[run.task.job_id]
+        step = spec.steps[run.task.step]
+        saved = saved or (kind is EndKind.STOPPED and step.checkpoints)
+        checkpoint = str(int(1000 * self._done_s(run))) if saved else ""
+        if kind is not EndKind.DONE and not saved:
+            self._lose(run)
+        report = EndReport(worker.count, run.task, run.number, kind, checkpoint)
+        worker.ended.append(report)
+        worker.news.set()
         end = RunEnd(run.task, run.number, kind, worker.life, self.now(), worker.lapses)
         worker.unacknowledged_by_number[worker.count] = end
         self.history.on_end(spec, end)
-        step = spec.steps[run.task.step]
         if kind is EndKind.DONE:
             self.done.add(run.task)
         if step.gang and kind is not EndKind.DONE:
-            self._break_gang(run)
+            self._break_gang(run, saved)
 
-    def _break_gang(self, broken: _Run) -> None:
+    def _break_gang(self, broken: _Run, saved: bool) -> None:
         for worker in self.workers_by_address.values():
             for run in list(worker.runs_by_id.values()):
                 same = run.task.step_id == broken.task.step_id
                 if same and run.number == broken.number:
-                    self._end(worker, run, EndKind.GANG_BROKEN)
+                    self._end(worker, run, EndKind.GANG_BROKEN, saved)
 
 
 class FakeAdvisor(Advisor):
