--- a/packages/cell/src/briarrun_cell/decisions/ranking.py
+++ b/packages/cell/src/briarrun_cell/decisions/ranking.py
@@ -73,15 +73,17 @@
 class RateMeter:
     """Leaky bucket that detects jobs submitted above a customer's rate.
 
-    The weight of a customer is also its rate in jobs per second.
+    The weight of a customer is also its rate in jobs per second. ``window_s`` is the
+    size of a burst that is admitted, in seconds at the full rate.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float = RATE_WINDOW_S) -> None:
+        self._window_s = window_s
         self._level_by_customer: dict[str, tuple[float, float]] = {}
 
     def exceeds(self, customer: str, rate_per_s: float, at_s: float) -> bool:
         """Record a job and return whether it exceeds the rate."""
-        burst = max(1.0, rate_per_s * RATE_WINDOW_S)
+        burst = max(1.0, rate_per_s * self._window_s)
         level, last_s = self._level_by_customer.get(customer, (0.0, at_s))
         level = max(0.0, level - max(0.0, at_s - last_s) * rate_per_s)
         exceeded = level + 1 > burst
