Answer at once while the store is silent, and settle writes in doubt

Cause: in a silence of the store of 3 s, submissions waited 0.75 to 1.5 s for writes of which most were never sent, and were then answered 504, after which a client cannot safely retry. A holder that was just lost delayed submissions by 1 s although the store answered.

Change: a VM observes its calls to the store (decisions/store_silence.py, store_monitor.py) and knows after 0.6 s without an answer that it is silent. It then sends no writes and answers 503 with a Retry-After by urgency and job id; before a write it asks a store that it has not heard of for 0.25 s. Writes that were sent are repeated until 200 ms before the caller's deadline (Request-Deadline, or the queue's timeout), also by the holder for other VMs. Calls that were lost in a silence are repeated at once after it, records of urgent queues first. If the holder does not answer for 0.25 s while the store does, the VM appends by itself.

The constructors of the writers take the monitor in tests; test_peers also checks the new fields of a relayed write. No check is eased.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -18,7 +18,7 @@
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable, renewal_interval_s
 from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.explanation import JobExplanation
-from briarrun_cell.frontend import IN_DOUBT_RETRY_S, WRITE_RETRY_S, Frontend
+from briarrun_cell.frontend import WRITE_RETRY_S, Frontend
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.job_view import JobView, LocalJobView, PeerJobView, ReplicaClient
@@ -32,6 +32,7 @@
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
 from briarrun_cell.replicas import choose_replicas, is_replica, nearest_first
 from briarrun_cell.settings import CellSettings
+from briarrun_cell.store_monitor import ObservedStore, StoreMonitor
 from briarrun_cell.stream import JobStreamListener
 from briarrun_cell.tail import TopicListeners, TopicTail
 from briarrun_cell.write_relay import RecordRelay, SubmissionWriter
@@ -161,7 +162,7 @@
         incarnation: str | None = None,
     ) -> None:
         self._settings = settings
-        self._store = ports.store
+        store = self._store = ObservedStore(ports.store, clock)
         self._clock = clock
         self.incarnation = incarnation or secrets.token_hex(4)
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -182,7 +183,6 @@
             ports.entry_decoder, clock, lease_durations.longest_s
         )
         self._vms = EntryVmTable()
-        store = ports.store
         self._config_tail = TopicTail(
             store,
             Topic.CONFIG,
@@ -214,11 +214,13 @@
             wait_s=RARE_TOPIC_WAIT_S,
             read_pause_s=REGISTRY_READ_PAUSE_S,
         )
-        self._writer = RecordWriter(
+        self._monitor = StoreMonitor(
             store,
             clock,
-            lambda: max(self._jobs_tail.answered_at, self._config_tail.answered_at),
+            lambda: self._config_tail.next_offset,
+            self.metrics.set_store_silent,
         )
+        self._writer = RecordWriter(store, clock, self._monitor)
         self.local_view = LocalJobView(self.table, self._jobs_tail, clock)
         self._nearest_replicas: list[EntryVm] = []
         self._peer_view = PeerJobView(
@@ -230,10 +232,13 @@
             self._config_tail,
             self._job_view,
             self._jobs_tail,
-            SubmissionWriter(self._writer, ports.relay, self._holder_address, clock),
+            SubmissionWriter(
+                self._writer, ports.relay, self._holder_address, clock, self._monitor
+            ),
             clock,
             settings.max_config_age_s,
             ProgressBounds(store.limits.record_bytes),
+            self._monitor,
         )
         self.holder = Holder(
             HolderDependencies(
@@ -283,9 +288,13 @@
         claim = self.election.other_holder()
         return NotHolder() if claim is None else NotHolder(claim.vm, claim.address)
 
-    async def write_for_peer(self, record: Record) -> WriteOutcome:
+    async def write_for_peer(
+        self, record: Record, settle_s: float, priority: int
+    ) -> WriteOutcome:
         """Store a record that another VM has accepted."""
-        return await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
+        return await self._writer.write(
+            record, WRITE_RETRY_S, settle_s, priority=priority
+        )
 
     @property
     def vms_by_name(self) -> dict[str, EntryVm]:
@@ -345,6 +354,7 @@
         """Start to read the store and to take part in the election."""
         self._follow_topics()
         self._supervise("registration", self._keep_registered)
+        self._supervise("store monitor", self._monitor.run)
         self._supervise("writer", self._writer.run)
         self._supervise("election", self._run_election)
 
@@ -352,6 +362,7 @@
         """Cancel all tasks."""
         if self.holder.session is not None:
             self.holder.session.close()
+        self._monitor.close()
         for task in self._tasks:
             task.cancel()
 
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -11,12 +11,14 @@
 from briarrun_cell import records
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
+from briarrun_cell.decisions.store_silence import retry_after_s
 from briarrun_cell.job_view import JobView
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import FINAL_STATES, JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
 from briarrun_cell.progress_size import JobTooLarge, ProgressBounds
 from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.store_monitor import StoreMonitor
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.write_relay import SubmissionWriter
 
@@ -24,15 +26,22 @@
 """Time for which a refused write is retried. It is short because another VM may reach
 the store, so the caller should retry there soon."""
 
-IN_DOUBT_RETRY_S = 0.9
-"""Time for which a write is retried if it may have been stored."""
+ANSWER_MARGIN_S = 0.2
+"""Time before the deadline of a caller at which it is told that the outcome of a write
+is unknown. Until then the write is repeated."""
+
+DEFAULT_WAIT_S = 3.0
+"""Time for which a caller waits if neither its request nor its queue says so."""
+
+MAX_CALLER_WAIT_S = 30.0
+"""Maximum time for which a write in doubt is repeated for a caller."""
 
 STORE_UNREACHABLE_AFTER_S = 1.5
 """Time without an answer to a read after which the store counts as unreachable. It is
 longer than the long-poll time of a read."""
 
 RETRY_AFTER_S = 1
-"""Retry-After of a reply while the store is unreachable."""
+"""Retry-After of a reply that does not depend on the store, e.g. while a VM starts."""
 
 _LOG = ComponentLog("front")
 
@@ -90,6 +99,7 @@
         clock: Clock,
         max_config_age_s: float,
         bounds: ProgressBounds,
+        monitor: StoreMonitor,
     ) -> None:
         self._config = config
         self._config_tail = config_tail
@@ -99,6 +109,7 @@
         self._clock = clock
         self._max_config_age_s = max_config_age_s
         self._bounds = bounds
+        self._monitor = monitor
 
     @property
     def config_is_current(self) -> bool:
@@ -120,7 +131,7 @@
             )
             return Reply(
                 RequestOutcome.NO_CONFIG,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=self._retry_after_s(queue, address.path),
                 detail="the configuration cannot be confirmed",
             )
         if queue is None:
@@ -136,8 +147,17 @@
             return Reply(RequestOutcome.BAD_KEY, detail="unknown key")
         return queue, customer or ""
 
-    async def submit(self, queue: Queue, customer: str, spec: JobSpec) -> Reply:
-        """Store a job and return whether it was accepted."""
+    async def submit(
+        self,
+        queue: Queue,
+        customer: str,
+        spec: JobSpec,
+        waits_s: float | None = None,
+    ) -> Reply:
+        """Store a job and return whether it was accepted.
+
+        ``waits_s`` is the time for which the caller waits, by default that of the queue.
+        """
         if self._view().known_state(spec.job_id) is not None:
             return Reply(RequestOutcome.ACCEPTED, detail="known", customer=customer)
         accepted = msgspec.structs.replace(
@@ -150,7 +170,7 @@
             detail = str(error)
             _LOG.info("rejected submission", job=spec.job_id, detail=detail)
             return Reply(RequestOutcome.INVALID, detail=detail, customer=customer)
-        reply = await self._write(record)
+        reply = await self._write(record, queue, spec.job_id, waits_s)
         _LOG.info(
             "handled submission",
             job=spec.job_id,
@@ -171,7 +191,13 @@
         if record.size > limit:
             raise JobTooLarge(f"job of {record.size} bytes; at most {limit}")
 
-    async def cancel(self, job_id: str, customer: str) -> Reply:
+    async def cancel(
+        self,
+        job_id: str,
+        customer: str,
+        queue: Queue | None = None,
+        waits_s: float | None = None,
+    ) -> Reply:
         """Store the cancellation of a job."""
         view = self._view()
         if view.known_state(job_id) in FINAL_STATES:
@@ -179,7 +205,7 @@
         # Another VM may just have accepted the job, so the cancellation is stored
         # before the job is looked up again.
         record = records.cancellation_record(job_id, self._clock.wall_ms())
-        reply = await self._write(record)
+        reply = await self._write(record, queue, job_id, waits_s)
         _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
         if reply.request_outcome is RequestOutcome.ACCEPTED:
             answer = await view.state(job_id, wait_for_outcome=False)
@@ -191,14 +217,25 @@
     def store_is_unreachable(self) -> bool:
         """Whether the store has not answered this VM for too long."""
         unanswered_s = min(
-            self._config_tail.unanswered_s(), self._jobs_tail.unanswered_s()
+            self._config_tail.unanswered_s(),
+            self._jobs_tail.unanswered_s(),
+            self._monitor.unheard_s(),
         )
         return unanswered_s > STORE_UNREACHABLE_AFTER_S
 
-    async def _write(self, record: Record) -> Reply:
+    async def _write(
+        self, record: Record, queue: Queue | None, job_id: str, waits_s: float | None
+    ) -> Reply:
         outcome = WriteOutcome.UNREACHABLE
-        if not self.store_is_unreachable:
-            outcome = await self._writer.write(record, WRITE_RETRY_S, IN_DOUBT_RETRY_S)
+        if not self._monitor.is_silent() and not self.store_is_unreachable:
+            if waits_s is None:
+                waits_s = DEFAULT_WAIT_S if queue is None else queue.timeout_s
+            outcome = await self._writer.write(
+                record,
+                WRITE_RETRY_S,
+                settle_s(waits_s),
+                priority=0 if queue is None else queue.priority,
+            )
         if outcome is WriteOutcome.STORED:
             return Reply(RequestOutcome.ACCEPTED)
         if outcome is WriteOutcome.REJECTED:
@@ -208,7 +245,7 @@
             refused = outcome is WriteOutcome.NOT_STORED
             return Reply(
                 RequestOutcome.NOT_RUN,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=self._retry_after_s(queue, job_id),
                 detail=(
                     "the store refused the write"
                     if refused
@@ -217,6 +254,15 @@
             )
         return Reply(RequestOutcome.IN_DOUBT, detail="the store did not answer")
 
+    def _retry_after_s(self, queue: Queue | None, job_id: str) -> int:
+        """Return when a caller is to retry because of the store."""
+        queues = self._config.config.queues_by_name.values()
+        urgency = 0
+        if queue is not None:
+            priorities = {each.priority for each in queues}
+            urgency = sum(each < queue.priority for each in priorities)
+        return retry_after_s(urgency, self._monitor.unheard_s(), job_id)
+
     async def state(self, job_id: str, customer: str) -> Reply:
         """Return the newest state of a job.
 
@@ -246,6 +292,12 @@
         )
 
 
+def settle_s(waits_s: float) -> float:
+    """Return the time for which a write in doubt is repeated for a caller."""
+    waits_s = min(waits_s, MAX_CALLER_WAIT_S)
+    return max(waits_s - ANSWER_MARGIN_S, waits_s / 2)
+
+
 def describe_step(step: StepSpec) -> str:
     """Return the number of tasks, cores, run time and special properties of a step."""
     special = [
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -93,6 +93,11 @@
             "Workers that get no tasks because of an evacuation; on the holder.",
             registry=registry,
         )
+        self.store_silent = Gauge(
+            "briarrun_store_silent",
+            "1 while the store answers no call of this VM.",
+            registry=registry,
+        )
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
@@ -140,6 +145,10 @@
         """Record the wait of a job for its first start."""
         self.start_wait_s.labels(customer, queue).observe(max(0.0, seconds))
 
+    def set_store_silent(self, silent: bool) -> None:
+        """Record whether the store answers no call of this VM."""
+        self.store_silent.set(int(silent))
+
     def observe_requeue(self, reason: str) -> None:
         """Count a run that was given up so that its task starts again."""
         self.requeued_runs.labels(reason).inc()
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -23,7 +23,14 @@
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.records import check_key
 from briarrun_cell.write_relay import RecordRelay
-from briarrun_wire.decode import Amount, DecodeError, DurationS, Unsigned, decode_json
+from briarrun_wire.decode import (
+    Amount,
+    DecodeError,
+    DurationS,
+    Int64,
+    Unsigned,
+    decode_json,
+)
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_server import HttpHandler
 from briarrun_wire.http_types import HttpRequest, HttpResponse
@@ -36,6 +43,12 @@
 MAX_CALL_S = 600.0
 """Maximum timeout that a peer may name."""
 
+DEFAULT_SETTLE_S = 0.9
+"""Time to settle a write of a peer of an earlier version, which waits for 1 s."""
+
+RELAY_MARGIN_S = 0.05
+"""Time that a peer leaves for its answer on the way to the VM that relayed a write."""
+
 _Answer = TypeVar("_Answer")
 
 _LOG = ComponentLog("front")
@@ -59,10 +72,16 @@
 
 
 class RecordCall(msgspec.Struct, frozen=True, kw_only=True):
-    """Record of the job stream that a peer is to store."""
+    """Record of the job stream that a peer is to store.
+
+    ``settle_s`` is the time within which the sender needs the outcome, ``priority`` that
+    of the job's queue. Earlier versions send neither.
+    """
 
     key: str
     value: str
+    settle_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_CALL_S)] = DEFAULT_SETTLE_S
+    priority: Int64 = 0
 
 
 class RecordAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -104,7 +123,7 @@
     def __init__(
         self,
         advisor: Advisor,
-        write_record: Callable[[Record], Awaitable[WriteOutcome]],
+        write_record: Callable[[Record, float, int], Awaitable[WriteOutcome]],
         view: JobView,
     ) -> None:
         self._advisor = advisor
@@ -130,7 +149,7 @@
         call = decode_json(body, RecordCall)
         record = Record(call.key, call.value.encode())
         check_key(record.key)
-        outcome = await self._write_record(record)
+        outcome = await self._write_record(record, call.settle_s, call.priority)
         return HttpResponse.of_json(200, RecordAnswer(outcome=outcome))
 
     async def _state(self, body: bytes) -> HttpResponse:
@@ -217,11 +236,22 @@
         self._pool = pool
 
     async def write_via(
-        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
+        self,
+        address: str,
+        record: Record,
+        *,
+        send_within_s: float,
+        timeout_s: float,
+        priority: int = 0,
     ) -> WriteOutcome:
         """Let the process at a peer address store a record."""
         assert record.value is not None
-        call = RecordCall(key=record.key, value=record.value.decode())
+        call = RecordCall(
+            key=record.key,
+            value=record.value.decode(),
+            settle_s=max(0.0, timeout_s - RELAY_MARGIN_S),
+            priority=priority,
+        )
         result = await self._pool.request(
             address,
             "POST",
--- a/packages/cell/src/briarrun_cell/record_writer.py
+++ b/packages/cell/src/briarrun_cell/record_writer.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
 from briarrun_cell.batches import halves, take_batch
 from briarrun_cell.clock import Clock
-from briarrun_cell.ports import AppendOutcome, Record, Store, Topic
+from briarrun_cell.decisions.store_silence import SILENT_AFTER_S
+from briarrun_cell.ports import AppendOutcome, AppendResult, Record, Store, Topic
+from briarrun_cell.store_monitor import StoreMonitor
 
 APPEND_TIMEOUT_S = 0.75
 """Timeout of an append, after which it is repeated. A slow store needs 0.5 s for one
@@ -21,6 +22,17 @@
 MAX_BATCH = 200
 """Maximum number of records per append."""
 
+MAX_UNHEARD_S = 0.25
+"""Time without an answer of the store after which a write is sent only once the store
+has answered a call that changes nothing. The outcome of a write that is sent into a
+silence is unknown."""
+
+REVIEW_S = 0.05
+"""Interval at which a writer whose append is under way checks for a silent store."""
+
+RETURN_S = 1.0
+"""Time after the return of the store for which records of urgent queues go first."""
+
 
 class WriteOutcome(StrEnum):
     """Outcome of a write as reported to the caller.
@@ -36,13 +48,20 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _PendingWrite:
+    """Write that waits for its outcome.
+
+    ``maybe_stored`` tells that it has been sent, and that no answer has shown that this
+    attempt failed.
+    """
+
     record: Record
     retry_refused_until: float
-    retry_in_doubt_until: float
+    priority: int
     answer: asyncio.Future[WriteOutcome]
     maybe_stored: bool = False
+    in_flight: bool = False
 
 
 class RecordWriter:
@@ -53,15 +72,15 @@
 
     Writes are idempotent. A record that may have been stored is therefore sent again
     until the store confirms it, and is never reported as ``NOT_STORED``.
+
+    While the store is silent, nothing is sent. Writes that were never sent are reported
+    as ``UNREACHABLE``; those that may have been stored wait for the return of the store.
     """
 
-    def __init__(
-        self, store: Store, clock: Clock, last_answer_at: Callable[[], float]
-    ) -> None:
+    def __init__(self, store: Store, clock: Clock, monitor: StoreMonitor) -> None:
         self._store = store
         self._clock = clock
-        self._last_answer_at = last_answer_at
-        self._unanswered_at = float("-inf")
+        self._monitor = monitor
         self._queue: list[_PendingWrite] = []
         self._wake = asyncio.Event()
 
@@ -69,58 +88,89 @@
         self,
         record: Record,
         retry_refused_s: float,
-        retry_in_doubt_s: float,
+        settle_s: float,
         *,
+        priority: int = 0,
         maybe_stored: bool = False,
     ) -> WriteOutcome:
-        """Store one record and return the outcome.
+        """Store one record and return the outcome within ``settle_s`` seconds.
 
         A refused write is retried for ``retry_refused_s`` seconds, a write that may
-        have been stored for ``retry_in_doubt_s`` seconds. Returns ``UNREACHABLE`` without
-        sending anything if the last append timed out and the store has not answered
-        any read since. ``maybe_stored`` tells that an earlier attempt may have stored
-        the record, which is then never reported as ``NOT_STORED``.
+        have been stored as long as there is time. ``maybe_stored`` tells that an earlier
+        attempt may have stored the record, which is then never reported as
+        ``NOT_STORED`` or ``UNREACHABLE``.
         """
-        if self._last_answer_at() < self._unanswered_at:
-            return WriteOutcome.UNKNOWN if maybe_stored else WriteOutcome.UNREACHABLE
-        answer: asyncio.Future[WriteOutcome] = (
-            asyncio.get_running_loop().create_future()
-        )
-        now = self._clock.now()
-        self._queue.append(
-            _PendingWrite(
-                record,
-                now + retry_refused_s,
-                now + retry_in_doubt_s,
-                answer,
-                maybe_stored,
-            )
+        if self._monitor.is_silent() and not maybe_stored:
+            return WriteOutcome.UNREACHABLE
+        pending = _PendingWrite(
+            record,
+            self._clock.now() + retry_refused_s,
+            priority,
+            asyncio.get_running_loop().create_future(),
+            maybe_stored,
         )
+        self._queue.append(pending)
         self._wake.set()
-        return await answer
+        try:
+            async with asyncio.timeout(settle_s):
+                return await pending.answer
+        except TimeoutError:
+            sent = pending.maybe_stored or pending.in_flight
+            return WriteOutcome.UNKNOWN if sent else WriteOutcome.NOT_STORED
 
     async def run(self) -> None:
         """Append queued records until cancelled."""
         while True:
-            while not self._queue:
+            # Nobody waits any longer for the answer of a write that is done.
+            self._queue = [each for each in self._queue if not each.answer.done()]
+            if not self._queue:
                 self._wake.clear()
                 await self._wake.wait()
-            limit = self._store.limits.append_bytes
-            batch = take_batch(
-                self._queue, lambda pending: pending.record.size, limit, MAX_BATCH
-            )
-            del self._queue[: len(batch)]
-            await self._send(batch)
+            elif await self._store_answers():
+                await self._send(self._take_batch())
+            else:
+                self._refuse_unsent()
+                await asyncio.sleep(REVIEW_S)
+
+    async def _store_answers(self) -> bool:
+        """Return whether a write may be sent: the store has answered just before."""
+        if self._monitor.is_silent():
+            return False
+        if self._monitor.unheard_s() > MAX_UNHEARD_S:
+            await self._monitor.answers_within(SILENT_AFTER_S)
+        return not self._monitor.is_silent()
+
+    def _take_batch(self) -> list[_PendingWrite]:
+        if self._monitor.returned_s() <= RETURN_S:
+            self._queue.sort(key=lambda pending: pending.priority)
+        limit = self._store.limits.append_bytes
+        batch = take_batch(
+            self._queue, lambda pending: pending.record.size, limit, MAX_BATCH
+        )
+        del self._queue[: len(batch)]
+        return batch
+
+    def _refuse_unsent(self) -> None:
+        """Answer the writes that were never sent, since the store is silent."""
+        for pending in self._queue:
+            if not pending.maybe_stored:
+                _complete(pending, WriteOutcome.UNREACHABLE)
+        self._queue = [each for each in self._queue if each.maybe_stored]
 
     async def _send(self, batch: list[_PendingWrite]) -> None:
-        sent_at = self._clock.now()
-        result = await self._store.append(
-            Topic.JOBS,
-            [pending.record for pending in batch],
-            timeout_s=APPEND_TIMEOUT_S,
-        )
+        # A write whose time is over has been reported as not stored, and must not be sent.
+        batch = [each for each in batch if not each.answer.done()]
+        if not batch:
+            return
+        for pending in batch:
+            pending.in_flight = True
+        result = await self._append([pending.record for pending in batch])
+        for pending in batch:
+            pending.in_flight = False
         if result.outcome is AppendOutcome.DONE:
             for pending in batch:
+                # Its time may have just run out.
+                pending.maybe_stored = True
                 _complete(pending, WriteOutcome.STORED)
             return
         if result.outcome is AppendOutcome.INVALID:
@@ -130,31 +180,33 @@
                 for half in halves(batch):
                     await self._send(half)
             return
-        if result.outcome is AppendOutcome.UNKNOWN:
-            # The answer to an earlier call may still arrive shortly after this append
-            # was sent, and proves nothing about the store's present state.
-            self._unanswered_at = sent_at + APPEND_TIMEOUT_S / 2
         retries = []
         for pending in batch:
             if result.outcome is AppendOutcome.UNKNOWN:
                 pending.maybe_stored = True
-            in_doubt = pending.maybe_stored
-            until = (
-                pending.retry_in_doubt_until
-                if in_doubt
-                else pending.retry_refused_until
-            )
-            if self._clock.now() < until:
+            if pending.maybe_stored or self._clock.now() < pending.retry_refused_until:
                 retries.append(pending)
             else:
-                _complete(
-                    pending,
-                    WriteOutcome.UNKNOWN if in_doubt else WriteOutcome.NOT_STORED,
-                )
+                _complete(pending, WriteOutcome.NOT_STORED)
         if retries:
             await asyncio.sleep(RETRY_S)
             self._queue = retries + self._queue
-            self._wake.set()
+
+    async def _append(self, records: list[Record]) -> AppendResult:
+        """Append records; meanwhile refuse others if the store becomes silent."""
+        call = asyncio.ensure_future(
+            self._store.append(Topic.JOBS, records, timeout_s=APPEND_TIMEOUT_S)
+        )
+        try:
+            while not call.done():
+                await asyncio.wait({call}, timeout=REVIEW_S)
+                if self._monitor.is_silent():
+                    self._refuse_unsent()
+            return call.result()
+        except Exception as error:  # The append may have been sent; it is repeated.
+            return AppendResult(AppendOutcome.UNKNOWN, detail=repr(error))
+        finally:
+            call.cancel()
 
 
 def _complete(pending: _PendingWrite, outcome: WriteOutcome) -> None:
--- a/packages/cell/src/briarrun_cell/write_relay.py
+++ b/packages/cell/src/briarrun_cell/write_relay.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -16,10 +17,18 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ports import Record
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.store_monitor import StoreMonitor
 
 RELAY_TIMEOUT_S = 1.0
-"""Timeout of a relayed write. A slow store needs 0.3 s for a batch, and the batch before
-it may just have been sent."""
+"""Time after which a relayed write is taken over, unless the store is silent. A slow
+store needs 0.3 s for a batch, and the batch before it may just have been sent."""
+
+LOST_HOLDER_AFTER_S = 0.25
+"""Time without an answer of the holder after which a VM asks the store. If the store
+answers at once, the holder is lost, since it needs some 20 ms for a write."""
+
+QUICK_ANSWER_S = 0.1
+"""Time within which a store that is neither slow nor silent answers."""
 
 SEND_TIMEOUT_S = 0.3
 """Time after which a write is no longer relayed if the holder cannot be connected to."""
@@ -35,12 +44,20 @@
 
     @abstractmethod
     async def write_via(
-        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
+        self,
+        address: str,
+        record: Record,
+        *,
+        send_within_s: float,
+        timeout_s: float,
+        priority: int = 0,
     ) -> WriteOutcome:
         """Let the process at a peer address store a record.
 
-        Returns ``NOT_STORED`` only if the record is certainly not stored and will not
-        be, and ``UNKNOWN`` if there is no answer.
+        ``timeout_s`` is also the time for which the peer settles a write in doubt, and
+        ``priority`` that of the job's queue. Returns ``NOT_STORED`` and ``UNREACHABLE``
+        only if the record is certainly not stored and will not be, and ``UNKNOWN`` if
+        there is no answer.
         """
 
 
@@ -56,18 +73,26 @@
         relay: RecordRelay,
         holder_address: Callable[[], str | None],
         clock: Clock,
+        monitor: StoreMonitor,
     ) -> None:
         self._writer = writer
         self._relay = relay
         self._holder_address = holder_address
         self._clock = clock
+        self._monitor = monitor
         self._paused_until = float("-inf")
 
     async def write(
-        self, record: Record, retry_refused_s: float, retry_in_doubt_s: float
+        self,
+        record: Record,
+        retry_refused_s: float,
+        settle_s: float,
+        *,
+        priority: int = 0,
     ) -> WriteOutcome:
         """Store one record and return the outcome, as ``RecordWriter.write`` does."""
-        outcome = await self._relayed(record)
+        answer_by = self._clock.now() + settle_s
+        outcome = await self._relayed(record, settle_s, priority)
         if outcome in (
             WriteOutcome.STORED,
             WriteOutcome.REJECTED,
@@ -77,18 +102,33 @@
         return await self._writer.write(
             record,
             retry_refused_s,
-            retry_in_doubt_s,
+            max(0.0, answer_by - self._clock.now()),
+            priority=priority,
             maybe_stored=outcome is WriteOutcome.UNKNOWN,
         )
 
-    async def _relayed(self, record: Record) -> WriteOutcome:
+    async def _relayed(
+        self, record: Record, settle_s: float, priority: int
+    ) -> WriteOutcome:
         address = self._holder_address()
         if address is None or self._clock.now() < self._paused_until:
             return WriteOutcome.NOT_STORED
         sent_at = self._clock.now()
-        outcome = await self._relay.write_via(
-            address, record, send_within_s=SEND_TIMEOUT_S, timeout_s=RELAY_TIMEOUT_S
+        call = asyncio.ensure_future(
+            self._relay.write_via(
+                address,
+                record,
+                send_within_s=SEND_TIMEOUT_S,
+                timeout_s=settle_s,
+                priority=priority,
+            )
         )
+        try:
+            outcome = await self._answer_of(call, sent_at)
+        finally:
+            call.cancel()
+        if outcome is WriteOutcome.UNREACHABLE:
+            self._monitor.on_report()
         if outcome not in (WriteOutcome.STORED, WriteOutcome.REJECTED):
             self._paused_until = self._clock.now() + PAUSE_S
             _LOG.warning(
@@ -99,3 +139,26 @@
                 waited_ms=int((self._clock.now() - sent_at) * 1000),
             )
         return outcome
+
+    async def _answer_of(
+        self, call: asyncio.Future[WriteOutcome], sent_at: float
+    ) -> WriteOutcome:
+        """Return the answer of the holder, ``UNKNOWN`` if it seems to be lost."""
+        await asyncio.wait({call}, timeout=LOST_HOLDER_AFTER_S)
+        while not call.done():
+            if await self._holder_is_lost(sent_at) and not call.done():
+                return WriteOutcome.UNKNOWN
+            await asyncio.wait({call}, timeout=LOST_HOLDER_AFTER_S)
+        return call.result()
+
+    async def _holder_is_lost(self, sent_at: float) -> bool:
+        """Return whether the holder does not answer although the store does.
+
+        While the store is silent, the holder cannot tell what became of the record.
+        """
+        if self._monitor.is_silent():
+            return False
+        if await self._monitor.answers_within(QUICK_ANSWER_S):
+            return True
+        waited_s = self._clock.now() - sent_at
+        return waited_s >= RELAY_TIMEOUT_S and not self._monitor.is_silent()
--- a/tests/cell/test_peers.py
+++ b/tests/cell/test_peers.py
@@ -9,6 +9,7 @@
 from briarrun_cell.model import JobState, StepId
 from briarrun_cell.peers import (
     ADVISE_PATH,
+    DEFAULT_SETTLE_S,
     RECORD_PATH,
     STATE_PATH,
     WAITING_PATH,
@@ -45,10 +46,14 @@
     def __init__(self, outcome: WriteOutcome | None) -> None:
         self.outcome = outcome
         self.records: list[Record] = []
+        self.terms: tuple[float, int] | None = None
         self.server = HttpServer(PeerHandler(FakeAdvisor(), self._write, _View()))
 
-    async def _write(self, record: Record) -> WriteOutcome:
+    async def _write(
+        self, record: Record, settle_s: float, priority: int
+    ) -> WriteOutcome:
         self.records.append(record)
+        self.terms = (settle_s, priority)
         if self.outcome is None:
             raise RuntimeError("defect of the peer")
         return self.outcome
@@ -63,10 +68,32 @@
     pool = HttpPool()
     relay = PeerRecordRelay(pool)
     answered = await relay.write_via(
-        peer.server.address, record, send_within_s=1.0, timeout_s=2.0
+        peer.server.address, record, send_within_s=1.0, timeout_s=2.0, priority=2
     )
     assert answered is outcome
     assert peer.records == [record]
+    assert peer.terms is not None
+    settle_s, priority = peer.terms
+    assert 1.8 < settle_s < 2.0 and priority == 2
+    await pool.close()
+    await peer.server.close()
+
+
+async def test_call_of_an_earlier_version_is_stored() -> None:
+    """Guards against relayed writes that are refused while the cell is updated."""
+    peer = _Peer(WriteOutcome.STORED)
+    await peer.server.start()
+    pool = HttpPool()
+    result = await pool.request(
+        peer.server.address,
+        "POST",
+        RECORD_PATH,
+        body=b'{"key":"j/1","value":"{}"}',
+        idempotent=True,
+        timeout_s=2.0,
+    )
+    assert result.ok.body == b'{"outcome":"stored"}'
+    assert peer.terms == (DEFAULT_SETTLE_S, 0)
     await pool.close()
     await peer.server.close()
 
--- a/tests/cell/test_rejected_records.py
+++ b/tests/cell/test_rejected_records.py
@@ -14,6 +14,7 @@
 from briarrun_cell.ports import AppendOutcome, AppendResult, Record, Store, StoreLimits
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.records import decode
+from briarrun_cell.store_monitor import ObservedStore, StoreMonitor
 from tests.cell.running import with_cell
 from tests.cell.test_ledger import job, make_ledger
 from tools.emulator.cell.cell import FakeCell, step
@@ -105,7 +106,9 @@
 ) -> None:
     """Guards against callers that are turned away because of another one's job."""
     store = _PickyStore(rejected)
-    writer = RecordWriter(store, make_ledger().clock, lambda: 0.0)
+    clock = make_ledger().clock
+    monitor = StoreMonitor(ObservedStore(store, clock), clock, lambda: None)
+    writer = RecordWriter(store, clock, monitor)
     running = asyncio.create_task(writer.run())
     records = [Record(f"j/{number}", b"x" * LARGE) for number in range(25)]
     try:
--- a/tests/cell/test_write_relay.py
+++ b/tests/cell/test_write_relay.py
@@ -11,6 +11,7 @@
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.ports import Record
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.store_monitor import ObservedStore, StoreMonitor
 from briarrun_cell.write_relay import PAUSE_S, RecordRelay, SubmissionWriter
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
@@ -99,7 +100,13 @@
         self.calls = 0
 
     async def write_via(
-        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
+        self,
+        address: str,
+        record: Record,
+        *,
+        send_within_s: float,
+        timeout_s: float,
+        priority: int = 0,
     ) -> WriteOutcome:
         self.calls += 1
         return self._outcome
@@ -123,10 +130,12 @@
     store = FakeStore(random.Random(1))
     store.faults.down = store_is_down
     clock = LoopClock()
-    appender = RecordWriter(StoreView(store), clock, clock.now)
+    observed = ObservedStore(StoreView(store), clock)
+    monitor = StoreMonitor(observed, clock, lambda: 0)
+    appender = RecordWriter(observed, clock, monitor)
     running = asyncio.ensure_future(appender.run())
     relay = _ScriptedRelay(relayed)
-    writer = SubmissionWriter(appender, relay, lambda: "holder:1", clock)
+    writer = SubmissionWriter(appender, relay, lambda: "holder:1", clock, monitor)
     assert await writer.write(Record("j/1", b"{}"), 0.1, 0.9) is expected
     await writer.write(Record("j/2", b"{}"), 0.1, 0.9)
     assert relay.calls == (2 if relayed is WriteOutcome.STORED else 1)
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -27,6 +27,7 @@
     body: bytes = b"",
     key: str | None = "key-roster",
     host: str = "h:80",
+    deadline: str | None = None,
 ) -> HttpResponse:
     core = cell.vms_by_name["vm0"].core
     assert core is not None
@@ -34,6 +35,8 @@
     headers = {"host": host}
     if key is not None:
         headers["authorization"] = f"Bearer {key}"
+    if deadline is not None:
+        headers["request-deadline"] = deadline
     return await handler.handle(HttpRequest(method, path, {}, headers, body))
 
 
@@ -100,3 +103,21 @@
     await asyncio.sleep(0.2)
     response = await _call(cell, "POST", f"/urgent/{JOB}", BODY)
     assert response.status == 401
+
+
+@pytest.mark.parametrize(
+    ("deadline", "answer_after_s"),
+    [("1500", 1.3), ("200", 0.1), (None, 2.8), ("soon", 2.8), ("-1", 2.8)],
+)
+@with_cell()
+async def test_unknown_outcome_is_reported_just_before_the_deadline(
+    cell: FakeCell, deadline: str | None, answer_after_s: float
+) -> None:
+    """Guards against 504 while the caller still waits, and against none in time."""
+    await asyncio.sleep(1.0)
+    cell.store.faults.lose_answers = 1.0
+    began_at = asyncio.get_running_loop().time()
+    response = await _call(cell, "POST", f"/urgent/{JOB}", BODY, deadline=deadline)
+    assert response.status == 504
+    took_s = asyncio.get_running_loop().time() - began_at
+    assert took_s == pytest.approx(answer_after_s, abs=0.05)
--- a/tools/emulator/cell/peers.py
+++ b/tools/emulator/cell/peers.py
@@ -16,6 +16,7 @@
     ReplicaClient,
 )
 from briarrun_cell.model import StepId
+from briarrun_cell.peers import RELAY_MARGIN_S
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable, Record
 from briarrun_cell.record_writer import WriteOutcome
 from briarrun_cell.write_relay import RecordRelay
@@ -52,7 +53,13 @@
         self._sender = sender
 
     async def write_via(
-        self, address: str, record: Record, *, send_within_s: float, timeout_s: float
+        self,
+        address: str,
+        record: Record,
+        *,
+        send_within_s: float,
+        timeout_s: float,
+        priority: int = 0,
     ) -> WriteOutcome:
         """Return the outcome, ``UNKNOWN`` if there is no answer in time."""
         peer = self._cell.vms_by_name[address.partition(":")[0]]
@@ -60,7 +67,9 @@
         if peer.core is None:
             return WriteOutcome.NOT_STORED
         # A frozen peer handles the call when it runs again.
-        call = asyncio.ensure_future(self._handle(peer, record))
+        call = asyncio.ensure_future(
+            self._handle(peer, record, timeout_s - RELAY_MARGIN_S, priority)
+        )
         try:
             async with asyncio.timeout(timeout_s):
                 outcome = await asyncio.shield(call)
@@ -70,12 +79,14 @@
             return WriteOutcome.UNKNOWN
         return outcome
 
-    async def _handle(self, peer: CellVm, record: Record) -> WriteOutcome:
+    async def _handle(
+        self, peer: CellVm, record: Record, settle_s: float, priority: int
+    ) -> WriteOutcome:
         await asyncio.sleep(RELAY_LATENCY_S)
         await peer.store.running.wait()
         if peer.core is None:
             return await asyncio.Future()
-        return await peer.core.write_for_peer(record)
+        return await peer.core.write_for_peer(record, settle_s, priority)
 
 
 class DirectReplicas(ReplicaClient):
