Close connections whose clients never read their last answer

Cause: closing a transport waits until all is sent, and a closing connection had no time-out any more. A client that asks, reads nothing and is then idle or sends its end kept its descriptor and the unsent part of the answer for ever. Change: after the time to linger or the idle time-out, a connection with unsent bytes has the write time-out, and is then aborted. Measured: test_client_that_reads_nothing_is_closed, 4 of 4 cases fail before (open after 4 s at a time-out of 0.4 s) and pass after.

--- a/packages/wire/src/briarrun_wire/http_connection.py
+++ b/packages/wire/src/briarrun_wire/http_connection.py
@@ -185,14 +185,24 @@
             return
         if self._holding.unsent:
             self._note_holding()
-        if now < self.deadline or self._is_closed:
+        if now < self.deadline:
             return
-        if self.phase in (Phase.HEADER, Phase.BODY):
+        if self.phase in (Phase.IDLE, Phase.LINGER):
+            self._close_in_time(now)
+        elif self._is_closed:
+            return
+        elif self.phase in (Phase.HEADER, Phase.BODY):
             self._refuse(408, "timeout", f"{self.phase} took too long")
         elif self.phase is Phase.WRITE:
             self._transport.abort()
-        elif self.phase in (Phase.IDLE, Phase.LINGER):
+
+    def _close_in_time(self, now: float) -> None:
+        """Close; ``close`` of a transport waits for ever for a client to read."""
+        assert self._transport is not None
+        if not self._transport.get_write_buffer_size():
             self._transport.close()
+        elif now >= self.deadline + self._owner.limits.write_timeout_s:
+            self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close unless a request is in flight."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -307,3 +307,31 @@
         while server.budget.connections("") or server.budget.bytes(""):
             await asyncio.sleep(0.02)
     await server.close()
+
+
+@pytest.mark.parametrize("header", ["Connection: close", "X: a"])
+@pytest.mark.parametrize("half_closes", [True, False])
+async def test_client_that_reads_nothing_is_closed(
+    header: str, half_closes: bool
+) -> None:
+    """A graceful close must not wait for ever until a client has read its answer."""
+    size = 8 * 1024 * 1024
+    limits = HttpLimits(
+        max_body_bytes=size,
+        idle_timeout_s=0.4,
+        write_timeout_s=0.4,
+        write_buffer_bytes=2 * size,
+    )
+    server = await start_server(limits)
+    host, _, port = server.address.rpartition(":")
+    with socket.create_connection((host, int(port))) as client:
+        client.setblocking(False)
+        head = f"POST / HTTP/1.1\r\nHost: a\r\n{header}\r\nContent-Length: {size}\r\n"
+        request = head.encode() + b"\r\n" + b"a" * size
+        await asyncio.get_running_loop().sock_sendall(client, request)
+        if half_closes:
+            client.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(4):
+            while server.budget.connections(""):
+                await asyncio.sleep(0.05)
+    await server.close()
