Send no stop orders to members of gangs that end by themselves

Cause: the ends of the members of a gang are read worker by worker. While the store is slow, a poller waits up to 0.5 s for its ends to be stored, and the review took a gang of which one end was read for one that an earlier holder had started in part. The failure of a job stopped its ending gang, too.

Change: members are stopped 1 s after the last end of one of them was read; gangs that were started in part, or that lost a member without an end, are stopped at once as before. When a job becomes final, gangs of which a member has ended are left to the stop of leftover runs 1 s later. briarrun_stopped_runs_total counts orders that are sent, not runs that ended before the order.

The tests of departures, ledger, orders, unsettled starts, faults, takeovers, loads, load replay, path and worker lives pass.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -27,7 +27,7 @@
 from briarrun_cell.registry import WorkerRegistry
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.wait_monitor import WAIT_REPORT_INTERVAL_S, WaitMonitor
-from briarrun_cell.workers import StopReason, Worker
+from briarrun_cell.workers import RunState, StopReason, Worker
 
 ROUND_PAUSE_S = 0.004
 """Minimum pause before a scheduling round, so that one round handles several events."""
@@ -360,7 +360,9 @@
             self._review_runs()
         stops, ledger.stops = ledger.stops, []
         for run in stops:
-            self._spawn(self._sender.stop(run))
+            if run.state is RunState.STOPPING:
+                deps.metrics.observe_stop(run.stop_reason)
+                self._spawn(self._sender.stop(run))
         with deps.metrics.decision_s.time():
             plan = self._planner.plan()
         self._execute(plan)
@@ -371,9 +373,6 @@
         for reason in self.ledger.given_up:
             self._deps.metrics.observe_requeue(reason)
         self.ledger.given_up.clear()
-        for stop_reason in self.ledger.stop_reasons:
-            self._deps.metrics.observe_stop(stop_reason)
-        self.ledger.stop_reasons.clear()
         if self.ledger.end_gaps:
             self._deps.metrics.observe_end_gap(self.ledger.end_gaps)
             self.ledger.end_gaps = 0
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -55,6 +55,7 @@
 class Step:
     """One occurrence of a step with its waiting, active and completed tasks.
 
+    ``member_ended_at`` is the time at which the last end of a member of a gang was read,
     ``blocked_since`` is the time since which the step has found no workers, and
     ``examined_at`` the time of the last round that looked for some.
     """
@@ -68,6 +69,7 @@
     advice: StepAdvice = field(default_factory=StepAdvice)
     failed_on: set[str] = field(default_factory=set)
     remaining_s: float = 0.0
+    member_ended_at: float = float("-inf")
     blocked_since: float | None = None
     examined_at: float = float("-inf")
     wait: Wait | None = None
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -37,6 +37,10 @@
 """Time after the end of a job after which its remaining runs are stopped. It lets the
 other members of a gang end by themselves."""
 
+GANG_END_GRACE_S = 1.0
+"""Time after the end of a member of a gang after which the others are stopped. While the
+store is slow, the ends of some members are read 0.5 s after those of others."""
+
 _LOG = ComponentLog("holder")
 
 
@@ -56,8 +60,7 @@
     """State of the cell during one term of the holder.
 
     ``stops`` collects the runs to be stopped, ``ended`` the reported ends of runs with
-    their workers, ``stop_reasons`` the reasons of stops that are not counted yet,
-    ``given_up`` the reasons for which runs were given up, ``end_gaps`` the
+    their workers, ``given_up`` the reasons for which runs were given up, ``end_gaps`` the
     number of ends that workers forgot unread, and ``dirty`` the ids of jobs whose
     progress must be stored.
     """
@@ -83,7 +86,6 @@
         self.usage_by_customer: dict[str, Resources] = {}
         self.stops: list[Run] = []
         self.ended: list[tuple[str, EndReport]] = []
-        self.stop_reasons: list[StopReason] = []
         self.given_up: list[GiveUpReason] = []
         self.end_gaps = 0
         self.dirty: set[str] = set()
@@ -288,12 +290,18 @@
         self.dirty.add(step.job.job_id)
 
     def stop_broken_gangs(self) -> None:
-        """Stop gangs of which an earlier holder started only a part."""
+        """Stop gangs of which an earlier holder started only a part, or a member is lost.
+
+        If a member has ended, the others end at the same time; their ends are read one
+        by one.
+        """
         for job in self.jobs_by_id.values():
             for step in job.steps_by_id.values():
                 members = len(step.active)
                 if not step.spec.gang or not 0 < members < step.spec.count:
                     continue
+                if self.clock.now() < step.member_ended_at + GANG_END_GRACE_S:
+                    continue
                 if any(run.state is not RunState.RUNNING for run in step.runs()):
                     continue
                 if any(self.assignment_is_uncertain(step, i) for i in step.pending):
@@ -367,8 +375,8 @@
         _LOG.info("job finished", job=job.job_id, state=state)
         for step in job.steps_by_id.values():
             step.pending.clear()
-            if step.spec.gang and step.done:
-                # The other members end at the same time and need no stop order.
+            if step.spec.gang and len(step.active) < step.spec.count:
+                # A member has ended, so the others end by themselves.
                 continue
             for run in step.runs():
                 self.stop(run, StopReason.JOB_FINAL)
@@ -498,7 +506,6 @@
             run.since = self.clock.now()
             run.answered_at = None
             self.stops.append(run)
-            self.stop_reasons.append(reason)
 
     def await_inventory(self, run: Run, reason: str) -> None:
         """Keep a run that can no longer start until the next inventory lists its end.
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -184,6 +184,8 @@
                     for other in step.active.get(end.task.ordinal, [])
                 ],
             )
+        if step.spec.gang:
+            step.member_ended_at = now
         self._update_health(worker, step, run, end.kind, now)
         if end.kind is EndKind.DONE and not step.spec.service:
             self._on_done(step, end)
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -9,7 +9,7 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.job_table import JobEntry
-from briarrun_cell.ledger import LeaseDurations, Ledger
+from briarrun_cell.ledger import GANG_END_GRACE_S, LeaseDurations, Ledger
 from briarrun_cell.model import (
     AdviceTerms,
     CellConfig,
@@ -445,3 +445,22 @@
     if answered:
         poll(ledger, worker)
     assert len(started(ledger)) == startable
+
+
+@pytest.mark.parametrize("ended", [True, False], ids=["ended", "lost"])
+def test_members_of_a_gang_that_end_by_themselves_are_not_stopped(ended: bool) -> None:
+    """Guards against stops of runs that have ended, and gangs that run on in part."""
+    ledger = make_ledger(2)
+    job(ledger, "j", StepSpec(count=2, need=Resources(5000, 10), gang=True))
+    first, second = started(ledger)
+    if ended:
+        end = EndReport(1, first.task, first.number, EndKind.FAILED, "")
+        poll(ledger, first.worker, ended=(end,))
+    else:
+        ledger.on_worker_dead(first.worker, "test")
+    ledger.stop_broken_gangs()
+    assert ledger.stops == ([] if ended else [second])
+    assert isinstance(ledger.clock, ManualClock)
+    ledger.clock.time += GANG_END_GRACE_S
+    ledger.stop_broken_gangs()
+    assert ledger.stops == [second]
