Close refused clients that go on sending

Cause: for a second after a final answer, input was read and discarded at any rate. Change: a connection is closed after 256 KiB of discarded input. Lines of a head are counted without a regular expression, which took 0.09 ms for 16 KiB.

--- a/packages/wire/src/briarrun_wire/http_connection.py
+++ b/packages/wire/src/briarrun_wire/http_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import Mapping
 from enum import StrEnum
 from http import HTTPStatus
@@ -28,9 +27,13 @@
 """Parser events of one connection per iteration of the event loop. A body may come in
 chunks of few bytes, thousands in one read."""
 
-_END_OF_HEAD = re.compile(rb"\n\r?\n")
+_ENDS_OF_HEAD = (b"\n\r\n", b"\n\n")
 _MIN_HEADER_BYTES = len(b"a:\r\n")
 
+MAX_DISCARDED_BYTES = 256 * 1024
+"""Input that is discarded after a final answer. It is the rest of an ordinary body; a
+client that sends more does not wait for the answer."""
+
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 _UNSUPPORTED_METHODS = (b"CONNECT", b"TRACE")
 
@@ -107,6 +110,7 @@
         self._body = bytearray()
         self._received = 0
         self._in_handler = 0
+        self._discarded = 0
         self._continues = False
         self._client = ""
         self._task: asyncio.Task[None] | None = None
@@ -154,6 +158,9 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Pass received data to the parser."""
         if self.phase is Phase.LINGER:
+            self._discarded += nbytes
+            if self._discarded > MAX_DISCARDED_BYTES:
+                self.abort()
             return
         if self.phase is Phase.IDLE:
             self._enter_phase(Phase.HEADER)
@@ -314,10 +321,11 @@
         if self._received <= max_headers * _MIN_HEADER_BYTES:
             return False
         head, _ = self._h11.trailing_data
-        end = _END_OF_HEAD.search(head)
-        lines = head.count(b"\n", 0, end.start() + 1 if end else len(head))
         # The first line is the request line.
-        return lines > max_headers + 1
+        if head.count(b"\n") <= max_headers + 1:
+            return False
+        ends = [end for end in map(head.find, _ENDS_OF_HEAD) if end >= 0]
+        return head.count(b"\n", 0, min(ends, default=len(head)) + 1) > max_headers + 1
 
     def _start_request(self, request: h11.Request) -> None:
         limits = self._owner.limits
