Test evacuations beside faults, and takeovers by VMs with an old view

Cause: no test failed when a new holder did not wait for a recent view of the configuration's topic, and none had evacuations beside other faults.

Change: a test in which a VM that could not read requests takes the cell over, and a series of evacuations and notices beside the faults of the others.

--- a/tests/cell/test_evacuations.py
+++ b/tests/cell/test_evacuations.py
@@ -12,7 +12,13 @@
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.model import StepSpec
 from briarrun_cell.orders import OrderSender
-from briarrun_cell.ports import OrderOutcome, Record, Topic
+from briarrun_cell.ports import (
+    OrderOutcome,
+    ReadResult,
+    Record,
+    StoreUnavailable,
+    Topic,
+)
 from briarrun_cell.workers import RunState
 from briarrun_core.resources import Resources
 from tests.cell.rounds import make_queue
@@ -102,6 +108,33 @@
     assert set(cell.fleet.starts_by_domain) == {"fd2"}
 
 
+@with_cell(vms=2, failure_domains=TWO)
+async def test_new_holder_reads_the_evacuations_before_it_decides(
+    cell: FakeCell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a takeover by a VM that could not read requests for a while."""
+    holder = await cell.wait_for_holder()
+    (other,) = (vm for vm in cell.vms_by_name.values() if vm is not holder)
+    read, unreadable = other.store.read, {Topic.CONFIG}
+
+    async def read_others(topic: Topic, start: int, **times: float) -> ReadResult:
+        if topic in unreadable:
+            await asyncio.sleep(0.5)
+            raise StoreUnavailable("no answer")
+        return await read(topic, start, **times)
+
+    monkeypatch.setattr(other.store, "read", read_others)
+    for _ in range(20):
+        await cell.submit(cell.spec(step(14, 1_500)), holder.name)
+    await asyncio.sleep(1.0)
+    cell.evacuate("fd1")
+    await asyncio.sleep(6.0)
+    cell.kill_vm(holder.name)
+    await asyncio.sleep(3.0)
+    unreadable.clear()
+    assert await cell.finished(cell.accepted, 60.0) == set()
+
+
 @pytest.mark.parametrize("sent", [False, True], ids=["not sent", "not answered"])
 async def test_start_order_is_not_sent_after_the_evacuation(sent: bool) -> None:
     """Guards against an order to an evacuated worker, and capacity given up too early."""
--- a/tests/cell/test_fault_series.py
+++ b/tests/cell/test_fault_series.py
@@ -11,6 +11,7 @@
 from briarrun_cell.ports import Topic
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
+from tools.emulator.cell.fleet import EVACUATION_S
 
 pytestmark = pytest.mark.looptime
 
@@ -32,6 +33,10 @@
 )
 
 
+STORE_DISTURBED_S = 6.0
+"""Time by which an evacuation may be in force later while the store is disturbed."""
+
+
 async def _inject_fault(cell: FakeCell, fault: str) -> None:
     rng, store = cell.rng, cell.store
     vm = cell.holder() or rng.choice(list(cell.vms_by_name.values()))
@@ -96,6 +101,17 @@
     elif fault == "worker_reborn":
         if not worker.dead:
             cell.register(cell.fleet.rebirth(worker).entry)
+    elif fault == "evacuate":
+        domain = rng.choice(cell.options.failure_domains)
+        cell.evacuate(domain, disturbed_s=STORE_DISTURBED_S)
+        await asyncio.sleep(EVACUATION_S + STORE_DISTURBED_S + duration_s)
+        cell.end_evacuation(domain)
+    elif fault == "preempt":
+        if not worker.dead:
+            cell.preempt(worker)
+            cell.number += 1
+            domain = worker.entry.failure_domain
+            cell.add_worker(f"x{cell.number}", failure_domain=domain)
     elif fault == "late_orders":
         worker.faults.late_orders = 0.5
         await asyncio.sleep(duration_s)
@@ -165,6 +181,18 @@
     await _survive(cell, (*FAULTS, "relay_lost", "kill_replicas"))
 
 
+@pytest.mark.parametrize("seed", range(200, 212))
+@with_cell(vms=4, workers=9, failure_domains=("fd1", "fd2", "fd3"))
+async def test_evacuations_and_notices_beside_faults(cell: FakeCell, seed: int) -> None:
+    """Guards against starts in evacuated failure domains while other things fail."""
+    evacuations = [
+        asyncio.create_task(_inject_fault(cell, fault))
+        for fault in ("evacuate", "preempt", "evacuate")
+    ]
+    await _survive(cell, (*FAULTS, "preempt"))
+    await asyncio.gather(*evacuations)
+
+
 async def _survive(cell: FakeCell, kinds: tuple[str, ...]) -> None:
     rng = cell.rng
     load = asyncio.create_task(_run_load(cell, 15.0))
