--- a/packages/cell/src/briarrun_cell/decisions/reservations.py
+++ b/packages/cell/src/briarrun_cell/decisions/reservations.py
@@ -278,7 +278,7 @@
 
 @dataclass(slots=True)
 class ReservationCounts:
-    """What has become of the reservations of a term."""
+    """What has become of reservations since the counts were last taken."""
 
     made: int = 0
     given_up: int = 0
@@ -306,6 +306,11 @@
         """Number of gangs with a reservation."""
         return len(self._held)
 
+    def take_counts(self) -> ReservationCounts:
+        """Return the counts, and begin new ones."""
+        counts, self.counts = self.counts, ReservationCounts()
+        return counts
+
     def of(self, step: Step) -> Reservation | None:
         """Return the reservation of a step."""
         return self._held.get(step.step_id)
@@ -342,8 +347,6 @@
             return
         reservation = self._held.get(step.step_id)
         if reservation is None:
-            if not self._updating:
-                return
             if self._now < self._retry_at.get(step.step_id, 0.0):
                 return
         elif not self._updating and reservation.workers <= set(approved):
@@ -391,6 +394,8 @@
         if found is None or found[0] > now + MAX_AHEAD_S:
             if reservation is not None:
                 self._give_up(reservation, found[0] if found else math.inf)
+            else:
+                self._retry_at[step.step_id] = now + UPDATE_INTERVAL_S
             return
         capacity_at, possible = found
         chosen = first_workers(possible, step.spec.count)
@@ -501,7 +506,7 @@
             step = self._ledger.step_of(run.task)
             if step is None:
                 continue
-            expected = ratios.expected(
+            expected, _ = ratios.expected(
                 step.job.queue.name, step.spec.estimated_ms / 1000
             )
             ratio = expected * speed_ratio
