Bound the cost of moving runs off many workers at once

Cause: each run was fitted by itself against all workers.

Change: runs are looked at by step, and a review looks for room for four steps at most. Stops that are due need no room and are not bounded.

--- a/packages/cell/src/briarrun_cell/decisions/departures.py
+++ b/packages/cell/src/briarrun_cell/decisions/departures.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from briarrun_cell.decisions.fitting import fit, resources_per_task
+from briarrun_cell.decisions.fitting import resources_per_task, task_capacity
 from briarrun_cell.decisions.planning_round import approved_for, in_pool
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
-from briarrun_cell.model import TaskId
+from briarrun_cell.model import StepId, TaskId
 from briarrun_cell.workers import Run, RunState, StopReason, Worker
 from briarrun_core.resources import NOTHING, Resources
 
@@ -30,6 +30,10 @@
 """Minimum time between two stops of a task. Several workers may leave one after the
 other, and a task that only moves makes no progress."""
 
+MAX_SEARCHES = 4
+"""Maximum number of searches for room in one review. Each takes up to 4 ms with 1,900
+workers; steps that are not looked at are stopped later, or when it is due."""
+
 MIN_PACE_PERCENT = 3
 """Progress from which the pace of a run says more than the estimate of its job, which may
 be off by half."""
@@ -63,37 +67,31 @@
         self._stopped_at_by_task: dict[TaskId, float] = {}
 
     def choose(self) -> list[Departure]:
-        """Return the runs to be stopped now, the most valuable ones first."""
+        """Return the runs to be stopped now, the most valuable steps first."""
         now = self._ledger.clock.now()
         oldest = now - MIN_STOP_INTERVAL_S
         self._stopped_at_by_task = {
             task: at for task, at in self._stopped_at_by_task.items() if at > oldest
         }
-        candidates = list(self._candidates(now))
-        if not candidates:
+        found = self._candidates(now)
+        if not found:
             return []
-        free_by_worker = self._free_by_worker(now)
-        chosen: list[Departure] = []
-        away: Counter[Step] = Counter()
-        for _, step, runs, left_s in sorted(candidates, key=lambda each: each[0]):
-            if not _may_be_away(step, away[step] + len(runs)):
-                continue
-            fits = self._take_room(step, runs, free_by_worker)
-            if fits or left_s <= STOP_LEAD_S:
-                chosen.append(Departure(step, runs, left_s, fits))
-                away[step] += len(runs)
-                for run in runs:
-                    self._stopped_at_by_task[run.task] = now
+        room = _Room(self._ledger, self._kept_on, now)
+        chosen = []
+        for step in sorted(found, key=lambda step: _urgency(step, found[step], now)):
+            chosen += _choose_of(step, found[step], room)
+        for departure in chosen:
+            for run in departure.runs:
+                self._stopped_at_by_task[run.task] = now
         return chosen
 
-    def _candidates(
-        self, now: float
-    ) -> Iterator[tuple[tuple[object, ...], Step, tuple[Run, ...], float]]:
-        """Return runs that save their progress and end too late, with a sort key.
+    def _candidates(self, now: float) -> dict[Step, list[tuple[float, Run]]]:
+        """Return the runs that save their progress and end too late, by step.
 
-        The key puts urgent queues first, and then the runs that would lose most work.
+        Each has the time for which its worker stays at least. Of a gang, all members are
+        listed with the time of the first worker that leaves.
         """
-        seen: set[Step] = set()
+        found: dict[Step, list[tuple[float, Run]]] = {}
         for worker in self._ledger.workers_by_id.values():
             left_s = _left_s(worker, now)
             if left_s is None or left_s <= 0:
@@ -102,88 +100,143 @@
                 step = self._ledger.step_of(run.task)
                 if step is None or not step.spec.checkpoints or step.job.final:
                     continue
-                runs: tuple[Run, ...] = (run,)
                 if step.spec.gang:
-                    if step in seen:
-                        continue
-                    seen.add(step)
-                    runs = tuple(step.runs())
-                    left_s = min(_left_s(each.worker, now) or left_s for each in runs)
-                elif len(step.active[run.task.ordinal]) > 1:
-                    continue  # Another copy runs elsewhere.
-                if not self._movable(runs):
+                    known = found.get(step, [])
+                    first_s = min([left_s, *(each[0] for each in known[:1])])
+                    runs = step.runs()
+                else:
+                    first_s, runs = left_s, [run]
+                    if len(step.active[run.task.ordinal]) > 1:
+                        continue  # Another copy runs elsewhere.
+                if not self._must_move(step, runs, first_s - END_MARGIN_S, now):
                     continue
-                if self._ends_within(step, runs, left_s - END_MARGIN_S, now):
-                    continue
-                cores = step.spec.need.cores
-                lost = sum(cores * (now - each.since) for each in runs)
-                yield (step.job.queue.priority, -lost, run.task), step, runs, left_s
-
-    def _movable(self, runs: tuple[Run, ...]) -> bool:
-        return all(
-            run.state is RunState.RUNNING and run.task not in self._stopped_at_by_task
-            for run in runs
-        )
+                listed = [(first_s, each) for each in runs]
+                if step.spec.gang:
+                    found[step] = listed
+                else:
+                    found.setdefault(step, []).extend(listed)
+        return found
 
-    def _ends_within(
-        self, step: Step, runs: tuple[Run, ...], left_s: float, now: float
+    def _must_move(
+        self, step: Step, runs: list[Run], left_s: float, now: float
     ) -> bool:
-        if step.spec.service:
+        """Return whether the runs can be stopped, and would not end in time."""
+        if any(
+            run.state is not RunState.RUNNING or run.task in self._stopped_at_by_task
+            for run in runs
+        ):
             return False
+        if step.spec.service:
+            return True
         ratio = self._ledger.run_time_ratios.cautious(step.job.queue.name)
         estimated_s = step.spec.estimated_ms / 1000 * ratio
-        return all(expected_left_s(run, estimated_s, now) <= left_s for run in runs)
+        return any(expected_left_s(run, estimated_s, now) > left_s for run in runs)
+
+
+class _Room:
+    """Free resources of the workers to which tasks can move.
 
-    def _free_by_worker(self, now: float) -> dict[Worker, Resources]:
-        """Return the room for moved tasks, without that for those moved before."""
-        ledger = self._ledger
-        free_by_worker = {
+    The number of searches in one review is bounded, since each looks at all workers.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        kept_on: Callable[[Worker], Resources] | None,
+        now: float,
+    ) -> None:
+        self._free_by_worker = {
             worker: worker.free()
             for worker in ledger.workers_by_id.values()
             if worker.takes_orders(now)
             and not worker.quarantined(now)
             and not ledger.is_evacuated(worker)
         }
+        self._kept_on = kept_on
+        queues = ledger.config.queues_by_name.values()
+        self._urgent = min((queue.priority for queue in queues), default=0)
+        self._searches = 0
+        moving: Counter[Step] = Counter()
         for worker in ledger.workers_by_id.values():
             for run in worker.runs_by_id.values():
+                if run.stop_reason != StopReason.DEPARTURE:
+                    continue
                 step = ledger.step_of(run.task)
-                leaving = run.stop_reason == StopReason.DEPARTURE
-                if step is not None and leaving and not step.spec.gang:
-                    self._take_room(step, (run,), free_by_worker)
-        return free_by_worker
+                if step is not None:
+                    moving[step] += 1
+        for step, count in moving.items():
+            self.take(step, count, [])
 
-    def _take_room(
-        self,
-        step: Step,
-        runs: tuple[Run, ...],
-        free_by_worker: dict[Worker, Resources],
-    ) -> bool:
-        """Take the room for the tasks of some runs elsewhere, if there is enough."""
+    def take(self, step: Step, count: int, stopped: list[Run]) -> int:
+        """Take the room for some tasks of a step, and return for how many there is any.
+
+        For a gang there is room for all or none, beside that of its ``stopped`` members.
+        """
+        if self._searches >= MAX_SEARCHES:
+            return 0
+        self._searches += 1
         need = resources_per_task(step)
-        available = dict(free_by_worker)
-        for run in runs:
-            if run.worker in available:
-                available[run.worker] = available[run.worker] + need
-        pool = approved_for(step, in_pool(step, available))
-        room_by_worker = {w: available[w] - self._kept(step, w) for w in pool}
-        indexes = [run.task.ordinal for run in runs]
-        places = fit(step, indexes, room_by_worker)
-        if len(places) < len(runs):
-            return False
-        for _, worker in places:
-            available[worker] = available[worker] - need
-        free_by_worker.update(available)
-        return True
+        given_back = Counter(run.worker for run in stopped if step.spec.gang)
+        taken: dict[Worker, Resources] = {}
+        missing = count
+        for worker in approved_for(step, in_pool(step, self._free_by_worker)):
+            free = self._free_by_worker[worker]
+            for _ in range(given_back[worker]):
+                free = free + need
+            if not need.fits_in(free):
+                continue
+            fitting = min(missing, task_capacity(step, free - self._kept(step, worker)))
+            for _ in range(fitting):
+                free = free - need
+            taken[worker] = free
+            missing -= max(0, fitting)
+            if not missing:
+                break
+        if missing and step.spec.gang:
+            return 0
+        self._free_by_worker.update(taken)
+        return count - missing
 
     def _kept(self, step: Step, worker: Worker) -> Resources:
         """Return what the step leaves free on a worker."""
-        queues = self._ledger.config.queues_by_name.values()
-        urgent = min((queue.priority for queue in queues), default=0)
-        if self._kept_on is None or step.job.queue.priority <= urgent:
+        if self._kept_on is None or step.job.queue.priority <= self._urgent:
             return NOTHING
         return self._kept_on(worker)
 
 
+def _urgency(
+    step: Step, runs: list[tuple[float, Run]], now: float
+) -> tuple[int, float, StepId]:
+    """Return the sort key of a step: its queue, then the work that would be lost."""
+    lost_s = sum(now - run.since for _, run in runs)
+    return step.job.queue.priority, -lost_s * step.spec.need.cores, step.step_id
+
+
+def _choose_of(
+    step: Step, found: list[tuple[float, Run]], room: _Room
+) -> list[Departure]:
+    """Return which of the runs of a step are stopped now."""
+    found = sorted(found, key=lambda each: (each[0], each[1].since, each[1].task))
+    allowed = _may_be_away(step)
+    if step.spec.gang and allowed < len(found):
+        return []
+    found = found[:allowed]
+    if not found:
+        return []
+    runs = [run for _, run in found]
+    fitting = room.take(step, len(runs), runs)
+    if step.spec.gang:
+        left_s = found[0][0]
+        if fitting or left_s <= STOP_LEAD_S:
+            return [Departure(step, tuple(runs), left_s, bool(fitting))]
+        return []
+    return [
+        Departure(step, (run,), left_s, number < fitting)
+        for number, (left_s, run) in enumerate(found)
+        if number < fitting or left_s <= STOP_LEAD_S
+    ]
+
+
 def expected_left_s(run: Run, estimated_s: float, now: float) -> float:
     """Return the expected time until the end of a run, from its pace if that is known."""
     total_s = estimated_s
@@ -202,13 +255,13 @@
     return entry.read_at + entry.remaining_s - now
 
 
-def _may_be_away(step: Step, count: int) -> bool:
-    """Return whether further tasks of the step may be stopped."""
+def _may_be_away(step: Step) -> int:
+    """Return how many further tasks of the step may be stopped."""
     if step.spec.max_unavailable is None:
-        return True
+        return step.spec.count
     running = sum(
         any(run.state is RunState.RUNNING for run in runs)
         for runs in step.active.values()
     )
-    left = step.spec.count - len(step.progress.done)
-    return left - running + count <= step.spec.max_unavailable
+    away = step.spec.count - len(step.progress.done) - running
+    return max(0, step.spec.max_unavailable - away)
