Let the holder turn away jobs that are of no use

Cause: nothing was refused for load, and jobs that no worker can hold or that are above their customer's limit were accepted and waited for ever.

Change: the holder reviews submissions before it stores them (decisions/admission.py, admission_gate.py), its own and those that other VMs relay. A job that can never run is answered 400. A job whose customer's own backlog surely needs longer, at its limit, than three times the job's objective is answered 503 with a Retry-After of at most 10 s. The answer to a relayed write has the outcomes overload and never-runs, with the wait and the reason. Without a holder, without current views, for a known id, or for a record that may have been stored, nothing is refused. Counter briarrun_refusals_total, a log line for each refusal, docs.

write_via and SubmissionWriter.write return a WriteResult; tests compare its outcome as before.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -11,9 +11,11 @@
 
 import msgspec
 
+from briarrun_cell.admission_gate import AdmissionGate
 from briarrun_cell.advice import AdviceProxy
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigDecoder, ConfigView
+from briarrun_cell.decisions.admission import AdmissionControl
 from briarrun_cell.election import MAX_CLAIM_AGE_S, Election
 from briarrun_cell.entry_vms import EntryVm, EntryVmTable, renewal_interval_s
 from briarrun_cell.evacuations import Evacuations
@@ -28,7 +30,7 @@
 from briarrun_cell.operations import Explainer, NotHolder
 from briarrun_cell.ports import AppendOutcome, Record, Store, Topic, Workers
 from briarrun_cell.progress_size import ProgressBounds
-from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.record_writer import RecordWriter, WriteOutcome, WriteResult
 from briarrun_cell.registry import EntryDecoder, WorkerRegistry
 from briarrun_cell.replicas import choose_replicas, is_replica, nearest_first
 from briarrun_cell.settings import CellSettings
@@ -65,6 +67,13 @@
 HOLDER_REGISTRY_READ_PAUSE_S = 0.25
 """Pause between reads of the worker registry on the holder."""
 
+MAX_REGISTRY_AGE_S = 12.0
+"""Age of the worker registry above which no submission is turned away. While nothing
+changes, the view is up to two long polls old."""
+
+MAX_UNHEARD_FOR_REFUSALS_S = 1.0
+"""Time without an answer of the store after which no submission is turned away."""
+
 READY_CONFIG_AGE_S = 3.0
 """Age of the configuration above which a VM reports that it is not ready."""
 
@@ -221,6 +230,7 @@
             self.metrics.set_store_silent,
         )
         self._writer = RecordWriter(store, clock, self._monitor)
+        self._gate = AdmissionGate(self._admission, self.table, clock)
         self.local_view = LocalJobView(self.table, self._jobs_tail, clock)
         self._nearest_replicas: list[EntryVm] = []
         self._peer_view = PeerJobView(
@@ -233,12 +243,18 @@
             self._job_view,
             self._jobs_tail,
             SubmissionWriter(
-                self._writer, ports.relay, self._holder_address, clock, self._monitor
+                self._writer,
+                ports.relay,
+                self._holder_address,
+                clock,
+                self._monitor,
+                self._gate.review,
             ),
             clock,
             settings.max_config_age_s,
             ProgressBounds(store.limits.record_bytes),
             self._monitor,
+            self.metrics.observe_refusal,
         )
         self.holder = Holder(
             HolderDependencies(
@@ -290,11 +306,30 @@
 
     async def write_for_peer(
         self, record: Record, settle_s: float, priority: int
-    ) -> WriteOutcome:
-        """Store a record that another VM has accepted."""
-        return await self._writer.write(
+    ) -> WriteResult:
+        """Store a record that another VM has accepted, unless this one turns it away."""
+        if self._monitor.is_silent():
+            return WriteResult(WriteOutcome.UNREACHABLE)
+        refused = self._gate.review(record)
+        if refused is not None:
+            return refused
+        outcome = await self._writer.write(
             record, WRITE_RETRY_S, settle_s, priority=priority
         )
+        return WriteResult(outcome)
+
+    def _admission(self) -> AdmissionControl | None:
+        """Return the admission control of a holder whose views are current."""
+        session = self.holder.session
+        if session is None or not session.recovered or not session.is_holder():
+            return None
+        if (
+            self._config_tail.age_s() > READY_CONFIG_AGE_S
+            or self._registry_tail.age_s() > MAX_REGISTRY_AGE_S
+            or self._monitor.unheard_s() > MAX_UNHEARD_FOR_REFUSALS_S
+        ):
+            return None
+        return session.admission
 
     @property
     def vms_by_name(self) -> dict[str, EntryVm]:
--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -17,7 +17,7 @@
 from briarrun_cell.model import FINAL_STATES, JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
 from briarrun_cell.progress_size import JobTooLarge, ProgressBounds
-from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.record_writer import WriteOutcome, WriteResult
 from briarrun_cell.store_monitor import StoreMonitor
 from briarrun_cell.tail import TopicTail
 from briarrun_cell.write_relay import SubmissionWriter
@@ -58,6 +58,7 @@
     BAD_KEY = "bad-key"
     INVALID = "invalid"
     NOT_RUN = "not-run"
+    OVERLOAD = "overload"
     IN_DOUBT = "unsettled"
     NO_CONFIG = "no-config"
 
@@ -100,6 +101,7 @@
         max_config_age_s: float,
         bounds: ProgressBounds,
         monitor: StoreMonitor,
+        on_refusal: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._config = config
         self._config_tail = config_tail
@@ -110,6 +112,7 @@
         self._max_config_age_s = max_config_age_s
         self._bounds = bounds
         self._monitor = monitor
+        self._on_refusal = on_refusal
 
     @property
     def config_is_current(self) -> bool:
@@ -126,6 +129,7 @@
         queue = config.queue_at(address.host, address.path)
         if not self.config_is_current:
             age_ms = int(self._config_tail.age_s() * 1000)
+            self._on_refusal("configuration")
             _LOG.warning(
                 "refused request", reason="configuration too old", age_ms=age_ms
             )
@@ -226,18 +230,29 @@
     async def _write(
         self, record: Record, queue: Queue | None, job_id: str, waits_s: float | None
     ) -> Reply:
-        outcome = WriteOutcome.UNREACHABLE
+        result = WriteResult(WriteOutcome.UNREACHABLE)
         if not self._monitor.is_silent() and not self.store_is_unreachable:
             if waits_s is None:
                 waits_s = DEFAULT_WAIT_S if queue is None else queue.timeout_s
-            outcome = await self._writer.write(
+            result = await self._writer.write(
                 record,
                 WRITE_RETRY_S,
                 settle_s(waits_s),
                 priority=0 if queue is None else queue.priority,
             )
+        outcome = result.outcome
         if outcome is WriteOutcome.STORED:
             return Reply(RequestOutcome.ACCEPTED)
+        if outcome is not WriteOutcome.UNKNOWN:
+            self._on_refusal(outcome)
+        if outcome is WriteOutcome.NEVER_RUNS:
+            return Reply(RequestOutcome.INVALID, detail=result.reason)
+        if outcome is WriteOutcome.OVERLOAD:
+            return Reply(
+                RequestOutcome.OVERLOAD,
+                retry_after_s=result.retry_after_s or RETRY_AFTER_S,
+                detail=result.reason,
+            )
         if outcome is WriteOutcome.REJECTED:
             detail = f"the store rejects a record of {record.size} bytes"
             return Reply(RequestOutcome.INVALID, detail=detail)
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -10,6 +10,7 @@
 from briarrun_cell.advice import AdviceDispatcher, AdviceProxy
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
+from briarrun_cell.decisions.admission import AdmissionControl
 from briarrun_cell.decisions.departures import Departure, Departures
 from briarrun_cell.decisions.planner import Placement, Plan, Planner
 from briarrun_cell.election import HolderRole, HolderTerm
@@ -145,6 +146,8 @@
             deps.keep_final_s,
             self.on_fenced,
         )
+        self.admission = AdmissionControl(self.ledger)
+        self.recovered = False
         self.waits = WaitMonitor(self.ledger, deps.metrics, deps.table)
         self._sender = OrderSender(deps.workers, self.ledger, deps.clock, self)
         self._planner = Planner(self.ledger, lambda: len(deps.vms()))
@@ -237,6 +240,7 @@
         await self._recover_jobs()
         deps.registry.on_change = self._on_registry
         self._on_registry()
+        self.recovered = True
         _LOG.info(
             "recovered the state of jobs and workers",
             epoch=ledger.epoch,
@@ -299,6 +303,7 @@
 
     def _on_registry(self) -> None:
         registry = self._deps.registry
+        self.admission.sizes.note(registry.by_id.values())
         added = self.ledger.set_workers(
             list(registry.by_id.values()), registry.recently_left()
         )
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -100,6 +100,12 @@
             "Workers that get no tasks because of an evacuation; on the holder.",
             registry=registry,
         )
+        self.refusals = Counter(
+            "briarrun_refusals",
+            "Submissions and cancellations that were not stored, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.store_silent = Gauge(
             "briarrun_store_silent",
             "1 while the store answers no call of this VM.",
@@ -164,6 +170,10 @@
         """Record the wait of a job for its first start."""
         self.start_wait_s.labels(customer, queue).observe(max(0.0, seconds))
 
+    def observe_refusal(self, reason: str) -> None:
+        """Count a submission or cancellation that was not stored."""
+        self.refusals.labels(str(reason)).inc()
+
     def set_store_silent(self, silent: bool) -> None:
         """Record whether the store answers no call of this VM."""
         self.store_silent.set(int(silent))
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -20,7 +20,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import JobState, StepId
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable, Advisor, Record
-from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.record_writer import WriteOutcome, WriteResult
 from briarrun_cell.records import check_key
 from briarrun_cell.write_relay import RecordRelay
 from briarrun_wire.decode import (
@@ -46,6 +46,9 @@
 DEFAULT_SETTLE_S = 0.9
 """Time to settle a write of a peer of an earlier version, which waits for 1 s."""
 
+MAX_RETRY_AFTER_S = 60
+"""Maximum time to retry that a peer may name."""
+
 RELAY_MARGIN_S = 0.05
 """Time that a peer leaves for its answer on the way to the VM that relayed a write."""
 
@@ -84,10 +87,17 @@
     priority: Int64 = 0
 
 
-class RecordAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Outcome of the write."""
+class RecordAnswer(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Outcome of the write; see ``WriteResult``.
+
+    A peer of an earlier version does not refuse, and takes a refusal for no answer.
+    """
 
     outcome: WriteOutcome
+    retry_after_s: Annotated[int, msgspec.Meta(ge=0, le=MAX_RETRY_AFTER_S)] | None = (
+        None
+    )
+    reason: str = ""
 
 
 class StateCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -123,7 +133,7 @@
     def __init__(
         self,
         advisor: Advisor,
-        write_record: Callable[[Record, float, int], Awaitable[WriteOutcome]],
+        write_record: Callable[[Record, float, int], Awaitable[WriteResult]],
         view: JobView,
     ) -> None:
         self._advisor = advisor
@@ -149,8 +159,13 @@
         call = decode_json(body, RecordCall)
         record = Record(call.key, call.value.encode())
         check_key(record.key)
-        outcome = await self._write_record(record, call.settle_s, call.priority)
-        return HttpResponse.of_json(200, RecordAnswer(outcome=outcome))
+        result = await self._write_record(record, call.settle_s, call.priority)
+        answer = RecordAnswer(
+            outcome=result.outcome,
+            retry_after_s=result.retry_after_s,
+            reason=result.reason,
+        )
+        return HttpResponse.of_json(200, answer)
 
     async def _state(self, body: bytes) -> HttpResponse:
         call = decode_json(body, StateCall)
@@ -243,7 +258,7 @@
         send_within_s: float,
         timeout_s: float,
         priority: int = 0,
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         """Let the process at a peer address store a record."""
         assert record.value is not None
         call = RecordCall(
@@ -267,18 +282,21 @@
                 "relayed write failed", key=record.key, detail=result.error.detail
             )
             sent = result.error.sent
-            return WriteOutcome.UNKNOWN if sent else WriteOutcome.NOT_STORED
+            return WriteResult(
+                WriteOutcome.UNKNOWN if sent else WriteOutcome.NOT_STORED
+            )
         response = result.ok
         if response.status in (400, 404, 413):
             # A peer of another version does not know the call, or the size.
-            return WriteOutcome.NOT_STORED
+            return WriteResult(WriteOutcome.NOT_STORED)
         if response.status != 200:
-            return WriteOutcome.UNKNOWN
+            return WriteResult(WriteOutcome.UNKNOWN)
         try:
-            return decode_json(response.body, RecordAnswer).outcome
+            answer = decode_json(response.body, RecordAnswer)
         except DecodeError as error:
             _LOG.warning("malformed answer to a relayed write", detail=str(error))
-            return WriteOutcome.UNKNOWN
+            return WriteResult(WriteOutcome.UNKNOWN)
+        return WriteResult(answer.outcome, answer.retry_after_s, answer.reason)
 
 
 class PeerReplicaClient(ReplicaClient):
--- a/packages/cell/src/briarrun_cell/record_writer.py
+++ b/packages/cell/src/briarrun_cell/record_writer.py
@@ -38,7 +38,9 @@
     """Outcome of a write as reported to the caller.
 
     After ``UNREACHABLE`` nothing was sent, since the store is silent. A ``REJECTED``
-    record is not stored and never will be, e.g. since it is too large.
+    record is not stored and never will be, e.g. since it is too large. ``OVERLOAD`` and
+    ``NEVER_RUNS`` are refusals of the holder, which has not stored the record; see
+    ``AdmissionControl``.
     """
 
     STORED = "stored"
@@ -46,6 +48,25 @@
     REJECTED = "rejected"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
+    OVERLOAD = "overload"
+    NEVER_RUNS = "never-runs"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the outcome is known, and that of another attempt would be the same."""
+        return self not in (WriteOutcome.NOT_STORED, WriteOutcome.UNKNOWN)
+
+
+@dataclass(frozen=True, slots=True)
+class WriteResult:
+    """Outcome of a submission; a refusal of the holder has a reason.
+
+    ``retry_after_s`` is the time after which the holder may admit the job.
+    """
+
+    outcome: WriteOutcome
+    retry_after_s: int | None = None
+    reason: str = ""
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -128,6 +128,11 @@
     return record.key[len(_JOB) :]
 
 
+def is_job_record(record: Record) -> bool:
+    """Return whether a record is that of an accepted job."""
+    return record.key.startswith(_JOB) and record.value is not None
+
+
 def compacted_job_record(spec: JobSpec) -> Record:
     """Return the record of a finished job without its steps and payload."""
     terms = Queue(name=spec.queue, host="", path_prefix="", pool="")
--- a/packages/cell/src/briarrun_cell/write_relay.py
+++ b/packages/cell/src/briarrun_cell/write_relay.py
@@ -16,7 +16,7 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ports import Record
-from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.record_writer import RecordWriter, WriteOutcome, WriteResult
 from briarrun_cell.store_monitor import StoreMonitor
 
 RELAY_TIMEOUT_S = 1.0
@@ -51,7 +51,7 @@
         send_within_s: float,
         timeout_s: float,
         priority: int = 0,
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         """Let the process at a peer address store a record.
 
         ``timeout_s`` is also the time for which the peer settles a write in doubt, and
@@ -65,6 +65,7 @@
     """Stores records through the holder, or by an append of this VM.
 
     ``holder_address`` returns the peer address of a holder on another VM, or None.
+    ``review`` returns the result of a submission that this VM turns away as the holder.
     """
 
     def __init__(
@@ -74,12 +75,14 @@
         holder_address: Callable[[], str | None],
         clock: Clock,
         monitor: StoreMonitor,
+        review: Callable[[Record], WriteResult | None] = lambda record: None,
     ) -> None:
         self._writer = writer
         self._relay = relay
         self._holder_address = holder_address
         self._clock = clock
         self._monitor = monitor
+        self._review = review
         self._paused_until = float("-inf")
 
     async def write(
@@ -89,30 +92,34 @@
         settle_s: float,
         *,
         priority: int = 0,
-    ) -> WriteOutcome:
-        """Store one record and return the outcome, as ``RecordWriter.write`` does."""
+    ) -> WriteResult:
+        """Store one record and return the outcome, as ``RecordWriter.write`` does.
+
+        A record that may have been stored is not reviewed.
+        """
         answer_by = self._clock.now() + settle_s
-        outcome = await self._relayed(record, settle_s, priority)
-        if outcome in (
-            WriteOutcome.STORED,
-            WriteOutcome.REJECTED,
-            WriteOutcome.UNREACHABLE,
-        ):
-            return outcome
-        return await self._writer.write(
+        relayed = await self._relayed(record, settle_s, priority)
+        if relayed.outcome.is_final:
+            return relayed
+        maybe_stored = relayed.outcome is WriteOutcome.UNKNOWN
+        refused = None if maybe_stored else self._review(record)
+        if refused is not None:
+            return refused
+        outcome = await self._writer.write(
             record,
             retry_refused_s,
             max(0.0, answer_by - self._clock.now()),
             priority=priority,
-            maybe_stored=outcome is WriteOutcome.UNKNOWN,
+            maybe_stored=maybe_stored,
         )
+        return WriteResult(outcome)
 
     async def _relayed(
         self, record: Record, settle_s: float, priority: int
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         address = self._holder_address()
         if address is None or self._clock.now() < self._paused_until:
-            return WriteOutcome.NOT_STORED
+            return WriteResult(WriteOutcome.NOT_STORED)
         sent_at = self._clock.now()
         call = asyncio.ensure_future(
             self._relay.write_via(
@@ -124,12 +131,13 @@
             )
         )
         try:
-            outcome = await self._answer_of(call, sent_at)
+            result = await self._answer_of(call, sent_at)
         finally:
             call.cancel()
+        outcome = result.outcome
         if outcome is WriteOutcome.UNREACHABLE:
             self._monitor.on_report()
-        if outcome not in (WriteOutcome.STORED, WriteOutcome.REJECTED):
+        if outcome is WriteOutcome.UNREACHABLE or not outcome.is_final:
             self._paused_until = self._clock.now() + PAUSE_S
             _LOG.warning(
                 "the holder did not store a record",
@@ -138,16 +146,16 @@
                 outcome=outcome,
                 waited_ms=int((self._clock.now() - sent_at) * 1000),
             )
-        return outcome
+        return result
 
     async def _answer_of(
-        self, call: asyncio.Future[WriteOutcome], sent_at: float
-    ) -> WriteOutcome:
+        self, call: asyncio.Future[WriteResult], sent_at: float
+    ) -> WriteResult:
         """Return the answer of the holder, ``UNKNOWN`` if it seems to be lost."""
         await asyncio.wait({call}, timeout=LOST_HOLDER_AFTER_S)
         while not call.done():
             if await self._holder_is_lost(sent_at) and not call.done():
-                return WriteOutcome.UNKNOWN
+                return WriteResult(WriteOutcome.UNKNOWN)
             await asyncio.wait({call}, timeout=LOST_HOLDER_AFTER_S)
         return call.result()
 
--- a/tests/cell/test_peers.py
+++ b/tests/cell/test_peers.py
@@ -19,7 +19,7 @@
     PeerReplicaClient,
 )
 from briarrun_cell.ports import AdviceUnavailable, Record
-from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.record_writer import WriteOutcome, WriteResult
 from briarrun_wire.http_client import HttpPool
 from briarrun_wire.http_server import HttpHandler, HttpServer
 from briarrun_wire.http_types import HttpRequest, HttpResponse
@@ -51,12 +51,14 @@
 
     async def _write(
         self, record: Record, settle_s: float, priority: int
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         self.records.append(record)
         self.terms = (settle_s, priority)
         if self.outcome is None:
             raise RuntimeError("defect of the peer")
-        return self.outcome
+        if self.outcome in (WriteOutcome.OVERLOAD, WriteOutcome.NEVER_RUNS):
+            return WriteResult(self.outcome, 7, "too much waits")
+        return WriteResult(self.outcome)
 
 
 @pytest.mark.parametrize("outcome", list(WriteOutcome))
@@ -70,7 +72,10 @@
     answered = await relay.write_via(
         peer.server.address, record, send_within_s=1.0, timeout_s=2.0, priority=2
     )
-    assert answered is outcome
+    assert answered.outcome is outcome
+    refused = outcome in (WriteOutcome.OVERLOAD, WriteOutcome.NEVER_RUNS)
+    assert answered.retry_after_s == (7 if refused else None)
+    assert answered.reason == ("too much waits" if refused else "")
     assert peer.records == [record]
     assert peer.terms is not None
     settle_s, priority = peer.terms
@@ -112,10 +117,10 @@
         answered = await relay.write_via(
             address, record, send_within_s=1.0, timeout_s=2.0
         )
-        assert answered is expected
+        assert answered.outcome is expected
     silent = await ScriptedServer(lambda *_: None).start()
     answered = await relay.write_via(silent, record, send_within_s=1.0, timeout_s=1.0)
-    assert answered is WriteOutcome.UNKNOWN
+    assert answered.outcome is WriteOutcome.UNKNOWN
     await pool.close()
     await peer.server.close()
 
@@ -224,9 +229,9 @@
     with pytest.raises(AdviceUnavailable):
         proxy = PeerAdviceProxy("other", FakeAdvisor(), pool)
         await proxy.ask_via(vm, StepId("1", 0, 0), ["w"], 2.0)
-    outcome = await PeerRecordRelay(pool).write_via(
+    written = await PeerRecordRelay(pool).write_via(
         server.address, Record("j/1", b"{}"), send_within_s=1.0, timeout_s=2.0
     )
-    assert outcome is WriteOutcome.UNKNOWN
+    assert written.outcome is WriteOutcome.UNKNOWN
     await pool.close()
     await server.close()
--- a/tests/cell/test_write_relay.py
+++ b/tests/cell/test_write_relay.py
@@ -10,7 +10,7 @@
 from briarrun_cell.clock import LoopClock
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.ports import Record
-from briarrun_cell.record_writer import RecordWriter, WriteOutcome
+from briarrun_cell.record_writer import RecordWriter, WriteOutcome, WriteResult
 from briarrun_cell.store_monitor import ObservedStore, StoreMonitor
 from briarrun_cell.write_relay import PAUSE_S, RecordRelay, SubmissionWriter
 from tests.cell.running import with_cell
@@ -107,9 +107,9 @@
         send_within_s: float,
         timeout_s: float,
         priority: int = 0,
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         self.calls += 1
-        return self._outcome
+        return WriteResult(self._outcome)
 
 
 @pytest.mark.parametrize(
@@ -136,7 +136,8 @@
     running = asyncio.ensure_future(appender.run())
     relay = _ScriptedRelay(relayed)
     writer = SubmissionWriter(appender, relay, lambda: "holder:1", clock, monitor)
-    assert await writer.write(Record("j/1", b"{}"), 0.1, 0.9) is expected
+    written = await writer.write(Record("j/1", b"{}"), 0.1, 0.9)
+    assert written.outcome is expected
     await writer.write(Record("j/2", b"{}"), 0.1, 0.9)
     assert relay.calls == (2 if relayed is WriteOutcome.STORED else 1)
     await asyncio.sleep(PAUSE_S)
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -388,6 +388,7 @@
         elif reply.request_outcome in (
             RequestOutcome.NOT_RUN,
             RequestOutcome.NO_CONFIG,
+            RequestOutcome.OVERLOAD,
         ):
             self.rejected.add(spec.job_id)
         else:
--- a/tools/emulator/cell/peers.py
+++ b/tools/emulator/cell/peers.py
@@ -18,7 +18,7 @@
 from briarrun_cell.model import StepId
 from briarrun_cell.peers import RELAY_MARGIN_S
 from briarrun_cell.ports import AdviceAnswer, AdviceUnavailable, Record
-from briarrun_cell.record_writer import WriteOutcome
+from briarrun_cell.record_writer import WriteOutcome, WriteResult
 from briarrun_cell.write_relay import RecordRelay
 
 if TYPE_CHECKING:
@@ -60,28 +60,28 @@
         send_within_s: float,
         timeout_s: float,
         priority: int = 0,
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         """Return the outcome, ``UNKNOWN`` if there is no answer in time."""
         peer = self._cell.vms_by_name[address.partition(":")[0]]
         await self._sender.store.running.wait()
         if peer.core is None:
-            return WriteOutcome.NOT_STORED
+            return WriteResult(WriteOutcome.NOT_STORED)
         # A frozen peer handles the call when it runs again.
         call = asyncio.ensure_future(
             self._handle(peer, record, timeout_s - RELAY_MARGIN_S, priority)
         )
         try:
             async with asyncio.timeout(timeout_s):
-                outcome = await asyncio.shield(call)
+                result = await asyncio.shield(call)
         except TimeoutError:
-            return WriteOutcome.UNKNOWN
+            return WriteResult(WriteOutcome.UNKNOWN)
         if self._cell.rng.random() < self._cell.lose_relay_answers:
-            return WriteOutcome.UNKNOWN
-        return outcome
+            return WriteResult(WriteOutcome.UNKNOWN)
+        return result
 
     async def _handle(
         self, peer: CellVm, record: Record, settle_s: float, priority: int
-    ) -> WriteOutcome:
+    ) -> WriteResult:
         await asyncio.sleep(RELAY_LATENCY_S)
         await peer.store.running.wait()
         if peer.core is None:
