Put jobs that are larger than any worker into the store in tests

Cause: two tests need an accepted job that no worker can hold, which the holder refuses now; the call for it was missing from the emulated cell. Change: FakeCell.store_job stores a job as a VM does while there is no holder; what the tests check is unchanged. Measured: the tests of test_operations and test_wait_monitor pass with it.

--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable
 from dataclasses import dataclass, field, replace
 
+import msgspec
+
 from briarrun_cell.clock import LoopClock
 from briarrun_cell.config_view import ConfigDecoder, EvacuationRecord
 from briarrun_cell.core import CellCore, CorePorts
@@ -31,6 +33,7 @@
     WorkerAnswer,
     Workers,
 )
+from briarrun_cell.records import job_record
 from briarrun_cell.registry import EntryDecoder
 from briarrun_cell.settings import CellSettings
 from briarrun_core.resources import NOTHING, Resources
@@ -395,6 +398,13 @@
             self.in_doubt.add(spec.job_id)
         return reply
 
+    def store_job(self, spec: JobSpec) -> None:
+        """Store a job without a review, as a VM does while there is no holder."""
+        accepted = msgspec.structs.replace(spec, accepted_ms=LoopClock().wall_ms())
+        record = job_record(accepted)
+        self.store.put(Topic.JOBS, record.key, record.value)
+        self.accepted.add(spec.job_id)
+
     async def cancel(self, spec: JobSpec, vm: str | None = None) -> Reply:
         """Cancel a job at a VM."""
         core = self._core(vm)
