--- a/packages/cell/src/briarrun_cell/decisions/planning_round.py
+++ b/packages/cell/src/briarrun_cell/decisions/planning_round.py
@@ -113,13 +113,11 @@
 
     def unreserved(self, step: Step, workers: list[Worker]) -> list[Worker]:
         """Return the workers on which no reservation holds the step back."""
-        if not self.is_less_urgent(step) or not (self.reserved or self.holds):
+        if not self.is_less_urgent(step):
             return workers
-        return [
-            worker
-            for worker in workers
-            if worker.worker_id not in self.reserved and self.holds.admit(step, worker)
-        ]
+        if self.reserved:
+            workers = [w for w in workers if w.worker_id not in self.reserved]
+        return self.holds.admitted(step, workers) if self.holds else workers
 
     def ticket_is_fresh(self, step: Step, worker: Worker) -> bool:
         """Return whether the step has a ticket for the worker that can be used."""
--- a/packages/cell/src/briarrun_cell/decisions/reservations.py
+++ b/packages/cell/src/briarrun_cell/decisions/reservations.py
@@ -248,7 +248,9 @@
 class Holds:
     """Reservations that are in force for the steps that a round has still to plan."""
 
+    earliest_end: Callable[[Step], float]
     ends_at: Callable[[Step, Worker], float]
+    _latest_start_at: float = float("-inf")
     _start_by_worker: dict[Worker, float] = field(default_factory=dict)
     _expected: dict[Worker, Resources] = field(default_factory=dict)
 
@@ -262,6 +264,7 @@
         for worker, tasks in reservation.tasks_by_worker.items():
             expected = self._expected.get(worker, NOTHING)
             self._expected[worker] = expected + need.scaled(tasks)
+        self._latest_start_at = max(start_at, self._latest_start_at)
         for worker in reservation.workers:
             earlier = self._start_by_worker.get(worker, math.inf)
             self._start_by_worker[worker] = min(start_at, earlier)
@@ -270,10 +273,17 @@
         """Return what the gangs are expected to use on a worker."""
         return self._expected.get(worker, NOTHING)
 
-    def admit(self, step: Step, worker: Worker) -> bool:
-        """Return whether a step may start on a worker now."""
-        start_at = self._start_by_worker.get(worker)
-        return start_at is None or may_backfill(self.ends_at(step, worker), start_at)
+    def admitted(self, step: Step, workers: list[Worker]) -> list[Worker]:
+        """Return the workers on which a step may start now."""
+        starts = self._start_by_worker
+        if not may_backfill(self.earliest_end(step), self._latest_start_at):
+            return [worker for worker in workers if worker not in starts]
+        return [
+            worker
+            for worker in workers
+            if worker not in starts
+            or may_backfill(self.ends_at(step, worker), starts[worker])
+        ]
 
 
 @dataclass(slots=True)
@@ -299,7 +309,7 @@
         self._in_force = 0
         self._outlooks: dict[Worker, tuple[Resources, Outlook]] = {}
         self.counts = ReservationCounts()
-        self.holds = Holds(self._ends_at)
+        self.holds = Holds(self._earliest_end, self._ends_at)
 
     @property
     def held(self) -> int:
@@ -324,7 +334,7 @@
             self._usual_slowness = median([w.health.slowness for w in workers] or [1.0])
         self._outlooks.clear()
         self._in_force = 0
-        self.holds = Holds(self._ends_at)
+        self.holds = Holds(self._earliest_end, self._ends_at)
         return self.holds
 
     def end_round(self) -> None:
@@ -479,17 +489,20 @@
             slipped_ms=round(slipped_s * 1000),
         )
 
+    def _earliest_end(self, step: Step) -> float:
+        """Return a time by which a step has probably ended if its workers are fast."""
+        return self._ends_after(step, 1.0)
+
     def _ends_at(self, step: Step, worker: Worker) -> float:
         """Return a time by which a step that starts now will probably have ended."""
+        return self._ends_after(step, max(1.0, self._speed_ratio(worker)))
+
+    def _ends_after(self, step: Step, speed_ratio: float) -> float:
         if step.spec.service:
             return math.inf
         ratio = self._ledger.run_time_ratios.cautious(step.job.queue.name)
-        ratio *= max(1.0, self._speed_ratio(worker))
-        return (
-            self._now
-            + START_S
-            + step.spec.estimated_ms / 1000 * ratio * BACKFILL_CAUTION
-        )
+        expected_s = step.spec.estimated_ms / 1000 * ratio * speed_ratio
+        return self._now + START_S + expected_s * BACKFILL_CAUTION
 
     def _speed_ratio(self, worker: Worker) -> float:
         ratio = worker.health.slowness / max(0.1, self._usual_slowness)
