Test the metrics of reservations

Cause: the gauge and the counters of reservations had no test. Change: a test that the gauge is set and the counters add up. Measured: the test passes; no change of behaviour.

--- a/tests/cell/test_reservations.py
+++ b/tests/cell/test_reservations.py
@@ -22,6 +22,7 @@
 from briarrun_cell.explanation import explain_job
 from briarrun_cell.jobs import Step
 from briarrun_cell.ledger import Ledger
+from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import StepSpec, TaskId
 from briarrun_cell.workers import Run, RunState
 from briarrun_core.resources import NOTHING, Resources
@@ -200,6 +201,17 @@
     assert "expected to start in 3.0 s on 4 workers" in step.text
 
 
+def test_metrics_count_reservations() -> None:
+    """Guards against counters that are set to the numbers of the last round."""
+    metrics = Metrics()
+    metrics.set_reservations(2, given_up=1, fulfilled=0)
+    metrics.set_reservations(1, given_up=0, fulfilled=3)
+    lines = metrics.render().decode().splitlines()
+    assert "briarrun_reservations 1.0" in lines
+    assert 'briarrun_ended_reservations_total{outcome="given-up"} 1.0' in lines
+    assert 'briarrun_ended_reservations_total{outcome="fulfilled"} 3.0' in lines
+
+
 def test_gang_that_never_fits_gives_way() -> None:
     """Guards against less urgent work that waits for a wrong estimate."""
     ledger = make_ledger(4)
