--- a/packages/cell/src/briarrun_cell/decisions/ranking.py
+++ b/packages/cell/src/briarrun_cell/decisions/ranking.py
@@ -284,8 +284,10 @@
         if known is None:
             ratios = self._ratios.expected(queue.name, step.spec.estimated_ms / 1000)
             known = self._known[step.step_id] = (*ratios, size_of(step, self._total))
-        ratio, own_ratio, size = known
-        status, latest_start_at = expected_status(step, self._now, ratio, own_ratio)
+        ratio, objective_ratio, size = known
+        status, latest_start_at = expected_status(
+            step, self._now, ratio, objective_ratio
+        )
         scarce = self._shares.scarce or customer in self._limited
         # Urgent steps are small, and all of them are to start within a second.
         sized = scarce and queue.priority > self._urgent_priority
@@ -315,17 +317,17 @@
 
 
 def expected_status(
-    step: Step, now: float, ratio: float, own_ratio: float
+    step: Step, now: float, ratio: float, objective_ratio: float
 ) -> tuple[DeadlineStatus, float]:
     """Return whether the job will be on time if the step starts now.
 
     Also returns the latest start with which it will be. ``ratio`` is the expected ratio of
-    actual to estimated run time, ``own_ratio`` the part of it that is due to the estimate
-    of the step being unlike others of its queue (``RunTimeRatios.expected``). The objective of a job follows
+    actual to estimated run time, ``objective_ratio`` the part of it by which the objective
+    is off (``RunTimeRatios.expected``). The objective of a job follows
     from its run time, so that both change if its estimate is unlike others of its queue.
     """
     job, queue = step.job, step.job.queue
-    further_s = queue.stretch * (own_ratio - 1) * job.critical_path_s
+    further_s = queue.stretch * (objective_ratio - 1) * job.critical_path_s
     run_s = step.remaining_s * ratio
     latest_start_at = job.target_end_at + further_s - run_s
     if now <= latest_start_at:
--- a/packages/cell/src/briarrun_cell/decisions/run_times.py
+++ b/packages/cell/src/briarrun_cell/decisions/run_times.py
@@ -31,6 +31,10 @@
 assumed to differ by a factor of 1.6 up or down."""
 
 
+MAX_FACTOR = 10.0
+"""Bound of an expected ratio, and of its inverse: estimates are off by up to 90 %."""
+
+
 @dataclass(slots=True)
 class _Relation:
     """Sums over ended steps of the logarithms of their run times; old ones fade."""
@@ -52,9 +56,10 @@
         self.product = self.product * kept + weight * x * y
 
     def factors(self, estimated_s: float) -> tuple[float, float]:
-        """Return the usual ratio of actual to estimated run time, and that of a run.
+        """Return the expected ratio of actual to estimated run time for an estimate.
 
-        The second is relative to the usual ratio, and for a run with that estimate.
+        Also returns the part of it by which an objective that was derived from the
+        estimate is off. The rougher the estimates, the larger that part is.
         """
         if not self.weight:
             return 1.0, 1.0
@@ -65,11 +70,12 @@
         slope = min(1.0, max(0.0, (covariance + prior) / (variance + prior)))
         shift = (self.actual - self.estimated) / self.weight
         own = (slope - 1) * (math.log(estimated_s) - mean)
-        return _bounded(math.exp(shift)), _bounded(math.exp(own))
+        off = own + (1 - slope) * shift
+        return _bounded(math.exp(own + max(0.0, shift))), _bounded(math.exp(off))
 
 
 def _bounded(ratio: float) -> float:
-    return min(max(ratio, MIN_RATIO), MAX_RATIO)
+    return min(max(ratio, 1 / MAX_FACTOR), MAX_FACTOR)
 
 
 @dataclass(slots=True)
@@ -102,15 +108,14 @@
     def expected(self, queue: str, estimated_s: float) -> tuple[float, float]:
         """Return the ratio that a run with that estimate is likely to have, at least.
 
-        Also returns the part of it that is due to the estimate being unlike others. The
-        rougher the estimates of the queue have been, the less they count beside the usual
-        run time of its tasks.
+        Also returns the part of it by which the objective, which follows from the
+        estimate, is off. The rougher the estimates of the queue have been, the less they
+        count beside the usual run time of its tasks.
         """
         relation = self._relation_by_queue.get(queue)
         if relation is None or estimated_s <= 0:
             return 1.0 + PRIOR_DEVIATION, 1.0
-        usual, own = relation.factors(estimated_s)
-        return max(1.0, usual) * own, own
+        return relation.factors(estimated_s)
 
     def cautious(self, queue: str) -> float:
         """Return a ratio that most runs of the queue do not exceed, at least 1."""
