Give reservations up once a gang has been blocked for 6 s

Cause: gangs of a backlog that were late already had reservations again and again. One that lacks only tickets reserves no more workers than it will occupy.

--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -428,11 +428,12 @@
             return
         if not round_.is_less_urgent(step):
             return
+        if round_.now - step.blocked_since > MAX_RESERVATION_S:
+            self.reservations.give_up(step)
+            return
         if round_.is_scarce(step):
             self.reservations.reserve(step, approved, round_.kept_on)
-            return
-        may_reserve = round_.now - step.blocked_since <= MAX_RESERVATION_S
-        if may_reserve and round_.reserving < MAX_RESERVING_GANGS:
+        elif round_.reserving < MAX_RESERVING_GANGS:
             round_.reserving += 1
             reserved = self._workers_to_reserve(step, approved, round_)
             round_.reserved.update(w.worker_id for w in reserved)
--- a/packages/cell/src/briarrun_cell/decisions/reservations.py
+++ b/packages/cell/src/briarrun_cell/decisions/reservations.py
@@ -366,6 +366,12 @@
             return
         self._update(step, reservation, approved, kept_on)
 
+    def give_up(self, step: Step) -> None:
+        """Give up the reservation of a step that has been blocked for too long."""
+        reservation = self._held.get(step.step_id)
+        if reservation is not None:
+            self._give_up(reservation, reservation.start_at)
+
     def on_placed(self, step: Step) -> None:
         """Record that a step has been placed."""
         reservation = self._held.get(step.step_id)
@@ -435,7 +441,9 @@
             return
         reservation.capacity_at, reservation.start_at = capacity_at, start_at
         reservation.tasks_by_worker = chosen
-        reservation.workers = frozenset(approved)
+        # A gang that only lacks tickets needs no more workers than it will occupy.
+        kept = chosen if capacity_at <= now else approved
+        reservation.workers = frozenset(kept)
         reservation.candidates = tuple(candidates)
         reservation.seen_at = now
         step.expected_start = ExpectedStart(start_at, len(chosen))
