--- a/packages/cell/src/briarrun_cell/decisions/planner.py
+++ b/packages/cell/src/briarrun_cell/decisions/planner.py
@@ -25,7 +25,6 @@
     approved_for,
 )
 from briarrun_cell.decisions.ranking import Demand, Rank, ShareOrder, StepOrder
-from briarrun_cell.decisions.reservations import GangReservations
 from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.decisions.turns import MAX_BLOCKED_STEPS, next_in_turn
 from briarrun_cell.decisions.wait_reasons import (
@@ -110,7 +109,6 @@
         self._headroom = UrgentHeadroom()
         self._limits = CustomerLimits(ledger)
         self.rates = ApprovalRates()
-        self.reservations = GangReservations(ledger)
 
     def kept_on(self, worker: Worker) -> Resources:
         """Return the resources of a worker that less urgent tasks leave free."""
@@ -137,7 +135,6 @@
             min(priorities, default=0),
             self._headroom,
             RenewalLimits.for_vms(self._count_vms()),
-            self.reservations.begin_round(now, usable),
             evacuated,
         )
         self._limits.refresh()
@@ -154,7 +151,6 @@
                 self._limits.hold_for(step, now)
         for step_rank, step in next_in_turn(later, round_.largest, now):
             self._try_plan_step(step, step_rank, round_, plan)
-        self.reservations.end_round()
         return plan
 
     def _try_plan_step(
@@ -242,7 +238,6 @@
             else:
                 runs = [self._ledger.place(step, index, w) for index, w in chosen]
             plan.placements.append(Placement(step, tuple(runs)))
-            self.reservations.on_placed(step)
         else:
             self._mark_blocked(step, approved, round_)
             self._note_wait(step, approved, round_)
@@ -260,12 +255,13 @@
         sound = ready
         if not yields:
             sound = [worker for worker in ready if worker not in round_.quarantined]
-        sound = round_.unreserved(step, sound)
+        if less_urgent and round_.reserved:
+            sound = [w for w in sound if w.worker_id not in round_.reserved]
         chosen = self._choose_workers(step, sound, round_, headroom=less_urgent)
         if not chosen and not yields:
             chosen = self._choose_workers(step, sound, round_, headroom=False)
         if not chosen and len(sound) < len(ready) and _may_try_quarantined(step):
-            unreserved = round_.unreserved(step, ready)
+            unreserved = [w for w in ready if w.worker_id not in round_.reserved]
             chosen = self._choose_workers(step, unreserved, round_, headroom=False)
         return chosen
 
@@ -328,8 +324,7 @@
     ) -> None:
         """Renew the tickets of a waiting step in a single request.
 
-        For a gang with a reservation they are requested for its expected start. For the
-        other first waiting steps, tickets are renewed before capacity becomes free.
+        For the first waiting steps, tickets are renewed before capacity becomes free.
         For other steps they are renewed once a worker has capacity and only its ticket
         is missing. Otherwise, steps with many tasks would leave capacity idle while
         their tickets are renewed one at a time.
@@ -337,15 +332,9 @@
         advice, terms = step.advice, step.job.queue.advice
         if terms is None or advice.request_in_flight or round_.now < advice.retry_at:
             return
+        soon = round_.now + terms.call_s(len(approved)) + TICKET_MARGIN_S
         if not self._limits.admit(step):
             return
-        reservation = self.reservations.of(step)
-        if reservation is not None:
-            if reservation.tickets_due(round_.now):
-                candidates = reservation.candidates[:MAX_WORKERS]
-                plan.request_advice(step, candidates, step_rank)
-            return
-        soon = round_.now + terms.call_s(len(approved)) + TICKET_MARGIN_S
         stale = [
             w
             for w in approved
@@ -426,14 +415,10 @@
             return
         if not fits_when_empty(step, approved):
             return
-        if not round_.is_less_urgent(step):
-            return
-        if round_.now - step.blocked_since > MAX_RESERVATION_S:
-            self.reservations.give_up(step)
-            return
-        if round_.is_scarce(step):
-            self.reservations.reserve(step, approved, round_.kept_on)
-        elif round_.reserving < MAX_RESERVING_GANGS:
+        waited_s = round_.now - step.blocked_since
+        may_reserve = waited_s <= MAX_RESERVATION_S
+        less_urgent = round_.is_less_urgent(step)
+        if less_urgent and may_reserve and round_.reserving < MAX_RESERVING_GANGS:
             round_.reserving += 1
             reserved = self._workers_to_reserve(step, approved, round_)
             round_.reserved.update(w.worker_id for w in reserved)
@@ -443,15 +428,17 @@
     ) -> Iterable[Worker]:
         """Return the workers to reserve for a gang that is blocked.
 
-        Capacity is not scarce, so these are reserved as a whole. A gang that only lacks
-        tickets needs no more workers than it will occupy. If it lacks capacity, the ones
-        with the most free capacity are enough.
+        A gang that only lacks tickets needs no more workers than it will occupy. If it
+        lacks capacity, it can be placed soonest if nobody else starts on any of them;
+        while capacity is not scarce, the ones with the most free capacity are enough.
         """
         unreserved = [w for w in approved if w.worker_id not in round_.reserved]
         indexes = self._ledger.startable(step)
         chosen = self._fit(step, indexes, unreserved, round_, headroom=True)
         if len(chosen) == step.spec.count:
             return {worker for _, worker in chosen}
+        if round_.is_scarce(step):
+            return approved
         return roomiest(step, unreserved)
 
 
--- a/packages/cell/src/briarrun_cell/decisions/planning_round.py
+++ b/packages/cell/src/briarrun_cell/decisions/planning_round.py
@@ -7,7 +7,6 @@
 
 from briarrun_cell.decisions.fitting import largest_free
 from briarrun_cell.decisions.headroom import UrgentHeadroom
-from briarrun_cell.decisions.reservations import Holds
 from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.jobs import Step
 from briarrun_cell.workers import Worker
@@ -27,8 +26,7 @@
 
     ``usable`` and ``quarantined`` are the workers that take orders, without the
     ``evacuated`` ones. ``largest`` is an upper bound of the free amount of each resource
-    on any of them. ``reserved`` are the workers reserved while capacity is not scarce,
-    ``holds`` the other reservations.
+    on any of them.
     """
 
     now: float
@@ -37,7 +35,6 @@
     urgent_priority: int
     headroom: UrgentHeadroom
     renewal_limits: RenewalLimits
-    holds: Holds
     evacuated: list[Worker] = field(default_factory=list)
     largest: Resources = field(init=False)
     largest_is_exact: bool = True
@@ -102,22 +99,10 @@
         """Return the free resources, without the headroom if that is to be left."""
         if not headroom:
             return worker.free()
-        return worker.free() - self.kept_on(worker)
-
-    def kept_on(self, worker: Worker) -> Resources:
-        """Return the headroom on a worker."""
         kept = self._kept_by_worker.get(worker)
         if kept is None:
             kept = self._kept_by_worker[worker] = self.headroom.kept_on(worker)
-        return kept
-
-    def unreserved(self, step: Step, workers: list[Worker]) -> list[Worker]:
-        """Return the workers on which no reservation holds the step back."""
-        if not self.is_less_urgent(step):
-            return workers
-        if self.reserved:
-            workers = [w for w in workers if w.worker_id not in self.reserved]
-        return self.holds.admitted(step, workers) if self.holds else workers
+        return worker.free() - kept
 
     def ticket_is_fresh(self, step: Step, worker: Worker) -> bool:
         """Return whether the step has a ticket for the worker that can be used."""
--- a/packages/cell/src/briarrun_cell/decisions/wait_reasons.py
+++ b/packages/cell/src/briarrun_cell/decisions/wait_reasons.py
@@ -38,8 +38,7 @@
             return WaitReason.TICKETS
     # The only other conditions are a reservation, and the number of tasks of the step
     # that a worker may hold.
-    reserved = round_.reserved or round_.holds
-    return WaitReason.RESERVATION if reserved else WaitReason.CAPACITY
+    return WaitReason.RESERVATION if round_.reserved else WaitReason.CAPACITY
 
 
 def reason_without_advice(step: Step, round_: PlanningRound) -> WaitReason:
--- a/packages/cell/src/briarrun_cell/decisions/waiting.py
+++ b/packages/cell/src/briarrun_cell/decisions/waiting.py
@@ -50,14 +50,6 @@
     """Its turn: a round looks for workers for a limited number of blocked steps."""
 
 
-@dataclass(frozen=True, slots=True)
-class ExpectedStart:
-    """Expected start of a gang with a reservation, on the holder's clock."""
-
-    at: float
-    workers: int
-
-
 @dataclass(slots=True)
 class Wait:
     """Wait of a step since its last placement; times are on the holder's clock.
--- a/packages/cell/src/briarrun_cell/explanation.py
+++ b/packages/cell/src/briarrun_cell/explanation.py
@@ -313,12 +313,6 @@
     text = f"waits for {what} ({waiting.reason}) for {waiting.age_s:.1f} s"
     if waiting.reason == EARLIER_HOLDER:
         text += f": {_earlier_workers(step, ledger)}"
-    if step.expected_start is not None:
-        start_in_s = max(0.0, step.expected_start.at - ledger.clock.now())
-        text += (
-            f"; capacity is reserved, expected to start in {start_in_s:.1f} s on "
-            f"{step.expected_start.workers} workers"
-        )
     if done or active:
         text += f"; tasks that wait: {result.pending}, {running}"
     return replace(
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -209,7 +209,6 @@
         self._deps.evacuations.on_change = None
         self._advice_dispatcher.close()
         self.waits.clear()
-        self._deps.metrics.set_reservations(0, 0, 0)
 
     def close(self) -> None:
         """Cancel all tasks of the session."""
@@ -371,11 +370,6 @@
                 self._spawn(self._sender.stop(run))
         with deps.metrics.decision_s.time():
             plan = self._planner.plan()
-        reservations = self._planner.reservations
-        ended = reservations.take_counts()
-        deps.metrics.set_reservations(
-            reservations.held, ended.given_up, ended.fulfilled
-        )
         self._execute(plan)
         self._journal.notify_progress()
 
--- a/packages/cell/src/briarrun_cell/jobs.py
+++ b/packages/cell/src/briarrun_cell/jobs.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from briarrun_cell.decisions.waiting import ExpectedStart, Wait, WaitReason
+from briarrun_cell.decisions.waiting import Wait, WaitReason
 from briarrun_cell.index_ranges import IndexRanges, to_indexes
 from briarrun_cell.model import JobSpec, JobState, Queue, StepId, StepSpec
 from briarrun_cell.progress_size import ProgressBounds
@@ -57,8 +57,7 @@
 
     ``member_ended_at`` is the time at which the last end of a member of a gang was read,
     ``blocked_since`` is the time since which the step has found no workers, and
-    ``examined_at`` the time of the last round that looked for some. ``expected_start`` is
-    set while capacity is reserved for the step.
+    ``examined_at`` the time of the last round that looked for some.
     """
 
     step_id: StepId
@@ -74,7 +73,6 @@
     blocked_since: float | None = None
     examined_at: float = float("-inf")
     wait: Wait | None = None
-    expected_start: ExpectedStart | None = None
 
     def checkpoint_of(self, index: int) -> str:
         """Return the checkpoint from which a task resumes, "" if there is none."""
--- a/packages/cell/src/briarrun_cell/metrics.py
+++ b/packages/cell/src/briarrun_cell/metrics.py
@@ -111,18 +111,6 @@
             "1 while the store answers no call of this VM.",
             registry=registry,
         )
-        self.reservations = Gauge(
-            "briarrun_reservations",
-            "Gangs for which workers are reserved; on the holder.",
-            registry=registry,
-        )
-        self.ended_reservations = Counter(
-            "briarrun_ended_reservations",
-            "Reservations of workers for gangs that were given up or fulfilled.",
-            ("outcome",),
-            registry=registry,
-        )
-        self.set_reservations(0, 0, 0)
         self.config_version = Gauge(
             "briarrun_config_version",
             "Version of the configuration in force.",
@@ -212,12 +200,6 @@
             ):
                 self.client_limit.labels(name, str(bound)).set(value)
 
-    def set_reservations(self, held: int, given_up: int, fulfilled: int) -> None:
-        """Set the held reservations, and count those that ended since the last call."""
-        self.reservations.set(held)
-        self.ended_reservations.labels("given-up").inc(given_up)
-        self.ended_reservations.labels("fulfilled").inc(fulfilled)
-
     def set_waits(
         self,
         count_by_reason: Mapping[str, int],
