Name the calls of the crowd tests by what they do

Cause: names like suffer said nothing to a newcomer. Change: run_crowd, is_running and _run_client; crowds and bounds are unchanged. Measured: no behaviour changed.

--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -86,18 +86,18 @@
         }
 
     @property
-    def lives(self) -> bool:
+    def is_running(self) -> bool:
         """Tell whether the process has not ended."""
         return self._vm.child is not None and self._vm.child.is_running
 
-    async def suffer(self, listener: str, crowd: Crowd) -> None:
+    async def run_crowd(self, listener: str, crowd: Crowd) -> None:
         """Run a crowd at a listener until each of its clients has stopped."""
         address = self.address_by_listener[listener]
         sampling = asyncio.create_task(self._sample())
         gate = asyncio.Semaphore(CONNECTING)
         try:
             await asyncio.gather(
-                *(_act(address, crowd, gate) for _ in range(crowd.clients))
+                *(_run_client(address, crowd, gate) for _ in range(crowd.clients))
             )
         finally:
             sampling.cancel()
@@ -108,7 +108,7 @@
             ("Authorization", f"Bearer {self._world.key_by_customer['roster']}"),
         )
         until = asyncio.get_running_loop().time() + ANSWER_S
-        while asyncio.get_running_loop().time() < until and self.lives:
+        while asyncio.get_running_loop().time() < until and self.is_running:
             answer = await HttpPool().request(
                 self._vm.callers_address,
                 "GET",
@@ -124,7 +124,7 @@
         return False
 
     async def _sample(self) -> None:
-        while self.lives:
+        while self.is_running:
             self._count_descriptors()
             await asyncio.sleep(SAMPLE_S)
 
@@ -158,7 +158,7 @@
         await world.stop()
 
 
-async def _act(address: str, crowd: Crowd, gate: asyncio.Semaphore) -> None:
+async def _run_client(address: str, crowd: Crowd, gate: asyncio.Semaphore) -> None:
     """Act as one client: connect, send, wait, close."""
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
--- a/tests/crowd/test_crowds.py
+++ b/tests/crowd/test_crowds.py
@@ -28,9 +28,9 @@
 
 async def check(cell: CrowdCell, listener: str, crowd: Crowd) -> None:
     """Check that the process lives, stays inside its limits, and serves afterwards."""
-    await cell.suffer(listener, crowd)
+    await cell.run_crowd(listener, crowd)
     answered = await cell.answers()
-    assert cell.lives
+    assert cell.is_running
     assert answered
     peak = cell.peak()
     # Shown by "pytest -rP".
