Take no long transfer from the store for a silence

Cause: a read that transfers much over a slow link counted as evidence of a silent store after 0.6 s, and the next answer gave it up, so that it was repeated for ever. Change: only appends and probes show a silence, and no call is given up. Measured: test_long_transfer_is_no_silence_and_is_not_given_up fails before and passes now; the tests of silence, relay and replicas pass.

--- a/packages/cell/src/briarrun_cell/decisions/store_silence.py
+++ b/packages/cell/src/briarrun_cell/decisions/store_silence.py
@@ -37,8 +37,8 @@
     """Times of the calls of this VM to the store.
 
     The store is silent if a call has been under way for longer than it may take and no
-    call has been answered since it was sent. Each call has an allowed duration, since a
-    long poll may take as long as it waits for records.
+    call has been answered since it was sent. Each call has an allowed duration; it is
+    infinite for those that may transfer much over a slow link.
     """
 
     def __init__(self, now: float) -> None:
@@ -48,10 +48,10 @@
         self._unanswered: _Call | None = None
         self._reported_at: float | None = None
 
-    def on_sent(self, now: float, wait_s: float = 0.0) -> int:
-        """Record a call that may wait for records, and return its number."""
+    def on_sent(self, now: float, allowed_s: float = SILENT_AFTER_S) -> int:
+        """Record a call that may take so long, and return its number."""
         self._next_call += 1
-        self._open[self._next_call] = _Call(now, wait_s + SILENT_AFTER_S)
+        self._open[self._next_call] = _Call(now, allowed_s)
         return self._next_call
 
     def on_end(self, number: int, now: float, *, answered: bool) -> None:
--- a/packages/cell/src/briarrun_cell/store_monitor.py
+++ b/packages/cell/src/briarrun_cell/store_monitor.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 from briarrun_cell.clock import Clock
-from briarrun_cell.decisions.store_silence import StoreSilence
+from briarrun_cell.decisions.store_silence import SILENT_AFTER_S, StoreSilence
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ports import (
     AppendOutcome,
@@ -16,7 +17,6 @@
     ReadResult,
     Record,
     Store,
-    StoreUnavailable,
     Topic,
 )
 
@@ -35,15 +35,12 @@
 """Outcomes that do not show that the store has answered: the connection may have been
 refused or lost."""
 
-_GIVEN_UP = "given up after a silence of the store"
-
 
 class ObservedStore(Store):
     """Passes calls to the store of a VM and records when they are sent and answered.
 
-    When the store answers after a silence, calls that were sent before the answered one
-    have probably been lost. They are given up at once, so that their senders repeat them
-    without waiting for the timeout.
+    A read may return megabytes over a slow link, so that one which takes long does not
+    show that the store is silent; only appends and probes do.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
@@ -51,7 +48,6 @@
         self._clock = clock
         self.limits = store.limits
         self.silence = StoreSilence(clock.now())
-        self._scopes_by_call: dict[int, asyncio.Timeout] = {}
 
     async def append(
         self,
@@ -66,59 +62,47 @@
         call = self.silence.on_sent(self._clock.now())
         answered = False
         try:
-            async with asyncio.timeout(None) as scope:
-                self._scopes_by_call[call] = scope
-                result = await self._store.append(
-                    topic, records, timeout_s=timeout_s, at=at, producer=producer
-                )
+            result = await self._store.append(
+                topic, records, timeout_s=timeout_s, at=at, producer=producer
+            )
             answered = result.outcome not in _NO_ANSWER
             return result
-        except TimeoutError:
-            return AppendResult(AppendOutcome.UNKNOWN, detail=_GIVEN_UP)
         finally:
-            self._on_end(call, answered)
+            self.silence.on_end(call, self._clock.now(), answered=answered)
 
     async def read(
         self, topic: Topic, start: int, *, wait_s: float, timeout_s: float
     ) -> ReadResult:
         """Return the records from an offset on, waiting for the first."""
-        return await self._read(
-            self._store.read(topic, start, wait_s=wait_s, timeout_s=timeout_s), wait_s
-        )
+        read = self._store.read(topic, start, wait_s=wait_s, timeout_s=timeout_s)
+        return await self._observe(read, allowed_s=math.inf)
 
     async def newest(self, topic: Topic, *, timeout_s: float) -> ReadResult:
-        """Return the newest record of each key; a large topic takes longer."""
-        return await self._read(
-            self._store.newest(topic, timeout_s=timeout_s), timeout_s
+        """Return the newest record of each key."""
+        read = self._store.newest(topic, timeout_s=timeout_s)
+        return await self._observe(read, allowed_s=math.inf)
+
+    async def probe(self, start: int) -> None:
+        """Read the configuration from its end, which returns next to nothing."""
+        read = self._store.read(
+            Topic.CONFIG, start, wait_s=0.0, timeout_s=PROBE_TIMEOUT_S
         )
+        await self._observe(read, allowed_s=SILENT_AFTER_S)
 
-    async def _read(self, read: Awaitable[ReadResult], wait_s: float) -> ReadResult:
-        call = self.silence.on_sent(self._clock.now(), wait_s)
+    async def _observe(
+        self, read: Awaitable[ReadResult], allowed_s: float
+    ) -> ReadResult:
+        call = self.silence.on_sent(self._clock.now(), allowed_s)
         answered = False
         try:
-            async with asyncio.timeout(None) as scope:
-                self._scopes_by_call[call] = scope
-                result = await read
+            result = await read
             answered = True
             return result
         except HistoryTruncated:
             answered = True
             raise
-        except TimeoutError as error:
-            raise StoreUnavailable(_GIVEN_UP) from error
         finally:
-            self._on_end(call, answered)
-
-    def _on_end(self, call: int, answered: bool) -> None:
-        self._scopes_by_call.pop(call, None)
-        now = self._clock.now()
-        returned = answered and self.silence.is_silent(now)
-        self.silence.on_end(call, now, answered=answered)
-        if not returned:
-            return
-        for earlier in [each for each in self._scopes_by_call if each < call]:
-            scope = self._scopes_by_call.pop(earlier)
-            scope.reschedule(asyncio.get_running_loop().time())
+            self.silence.on_end(call, self._clock.now(), answered=answered)
 
 
 class StoreMonitor:
@@ -204,9 +188,7 @@
 
     async def _probe(self, start: int) -> bool:
         try:
-            await self._store.read(
-                Topic.CONFIG, start, wait_s=0.0, timeout_s=PROBE_TIMEOUT_S
-            )
+            await self._store.probe(start)
         except HistoryTruncated:
             return True
         except Exception:  # ``StoreSilence`` has recorded that there was no answer.
--- a/tests/cell/test_store_silence.py
+++ b/tests/cell/test_store_silence.py
@@ -16,7 +16,7 @@
 )
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.model import JobSpec
-from briarrun_cell.ports import Record, StoreLimits, Topic
+from briarrun_cell.ports import ReadResult, Record, StoreLimits, Topic
 from briarrun_cell.record_writer import RecordWriter, WriteOutcome
 from briarrun_cell.store_monitor import ObservedStore, StoreMonitor
 from tests.cell.running import with_cell
@@ -204,7 +204,8 @@
         now = millisecond / 1000
         for _, event in [each for each in events if abs(each[0] - now) < 0.001]:
             if event in ("sent", "poll"):
-                calls.append(silence.on_sent(now, 1.0 if event == "poll" else 0.0))
+                wait_s = 1.0 if event == "poll" else 0.0
+                calls.append(silence.on_sent(now, SILENT_AFTER_S + wait_s))
             elif event == "report":
                 silence.on_report(now)
             else:
@@ -241,6 +242,37 @@
     assert answers == [retry_after_s(urgency, outage_s, job_id) for job_id in ids]
 
 
+class _SlowTransfer(StoreView):
+    """Takes two seconds for each read that is no probe, since it returns much."""
+
+    async def read(
+        self, topic: Topic, start: int, *, wait_s: float, timeout_s: float
+    ) -> ReadResult:
+        """Return the records after the transfer."""
+        if topic is not Topic.CONFIG:
+            await asyncio.sleep(2.0)
+        return await super().read(topic, start, wait_s=wait_s, timeout_s=timeout_s)
+
+
+async def test_long_transfer_is_no_silence_and_is_not_given_up() -> None:
+    """Guards against reads on slow links that are repeated for ever.
+
+    The read took longer than a silence, and the next answer of the store ended it.
+    """
+    store, clock = FakeStore(random.Random(1)), LoopClock()
+    observed = ObservedStore(_SlowTransfer(store), clock)
+    monitor = StoreMonitor(observed, clock, lambda: 0)
+    read = asyncio.ensure_future(
+        observed.read(Topic.JOBS, 0, wait_s=0.0, timeout_s=5.0)
+    )
+    await asyncio.sleep(1.0)
+    assert not monitor.is_silent()
+    assert await monitor.answers_within(SILENT_AFTER_S)
+    await asyncio.sleep(0.1)
+    assert not read.done()
+    assert (await read).records == ()
+
+
 class _OneByOne(StoreView):
     """Takes one record an append."""
 
