--- a/packages/cell/src/briarrun_cell/decisions/customer_limits.py
+++ b/packages/cell/src/briarrun_cell/decisions/customer_limits.py
@@ -83,9 +83,6 @@
             return
         if now > wait.since + MAX_HOLD_S:
             return
-        need, tasks = step.spec.need, step.spec.count if step.spec.gang else 1
-        amount = Resources(
-            need.cores * tasks, need.memory_mib * tasks, need.accelerators * tasks
-        )
+        amount = step.spec.need.scaled(step.spec.count if step.spec.gang else 1)
         hold = _Hold(step.job.queue.priority, amount)
         self._holds_by_customer.setdefault(step.job.spec.customer, []).append(hold)
