--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -13,9 +13,11 @@
 import random
 import shutil
 import signal
+import struct
 import sys
 import tempfile
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -50,6 +52,8 @@
 CLIENT_TIMEOUT_S = 3.0
 CONTACT_S = 4.0
 FINISH_S = 14.0
+HEAD_BYTES = 16
+PAGE_BYTES = 1_000_000
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 SETTINGS = """
@@ -118,6 +122,7 @@
         self._target = target
         self._whole = asyncio.Event()
         self._whole.set()
+        self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
     async def start(self) -> None:
@@ -127,6 +132,11 @@
         self._server = server
         self.address = f"{host}:{port}"
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether there is no partition."""
+        return self._whole.is_set()
+
     def cut(self) -> None:
         """Begin a partition."""
         self._whole.clear()
@@ -135,9 +145,16 @@
         """End the partition."""
         self._whole.set()
 
+    def close(self) -> None:
+        """End as the minion's process does: connections are reset and refused."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         back_writer: asyncio.StreamWriter | None = None
         try:
             host, _, port = self._target.rpartition(":")
@@ -153,6 +170,7 @@
         except OSError:
             pass
         finally:
+            self._writers.discard(writer)
             for each in (writer, back_writer):
                 if each is not None:
                     each.transport.abort()
@@ -182,6 +200,39 @@
             await writer.drain()
 
 
+class PagedStoreHandler(StoreHandler):
+    """Serves the store with the limits of its answers that PROTOCOL.md names."""
+
+    async def _read(self, topic: Topic, query: Mapping[str, str]) -> HttpResponse:
+        """Return at most ``maxKb`` of records, but at least one."""
+        response = await super()._read(topic, query)
+        if response.status != 200:
+            return response
+        most = int(query.get("maxKb", "1024")) * 1024
+        size = HEAD_BYTES
+        while size + 4 <= len(response.body):
+            (length,) = struct.unpack_from(">I", response.body, size)
+            if size > HEAD_BYTES and size + 4 + length > most:
+                break
+            size += 4 + length
+        return HttpResponse(200, response.body[:size])
+
+    async def _newest(self, topic: Topic, after: str) -> HttpResponse:
+        """Return pages of at most 500 records or 1 MB."""
+        response = await super()._newest(topic, after)
+        if response.status != 200:
+            return response
+        page = json.loads(response.body)
+        size, count = 0, 0
+        for item in page["items"]:
+            size += len(item["key"]) + len(item["value"])
+            if count and size > PAGE_BYTES:
+                page["items"], page["hasMore"] = page["items"][:count], True
+                break
+            count += 1
+        return HttpResponse.of_json(200, page)
+
+
 class MinionHandler(HttpHandler):
     """Serves one minion; a switch makes it turn away orders as unhealthy minions do."""
 
@@ -343,18 +394,22 @@
         }
         self.store.put(Topic.WORKERS, minion_id, json.dumps(document).encode())
 
+    def unregister(self, minion_id: str) -> None:
+        """Remove a minion's entry, as the platform does after three heartbeats."""
+        self.store.put(Topic.WORKERS, minion_id, None)
+
     async def _beat(self) -> None:
         """Write the heartbeats of the minions that reach the store."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for minion_id, minion in self.minions_by_id.items():
-                if minion.link._whole.is_set() and not minion.worker.dead:
+                if minion.link.is_whole and not minion.worker.dead:
                     self.register(minion_id)
 
     async def _add_node(self, number: int) -> None:
         name, ip = f"frontend-{number}", f"{self._network}.{number + 1}"
         view = StoreView(self.store)
-        server = HttpServer(StoreHandler(view))
+        server = HttpServer(PagedStoreHandler(view))
         await server.start()
         relay = Relay(server.address)
         await relay.start()
@@ -561,6 +616,10 @@
 
     async def main() -> int:
         cell = Cell(folder)
+        this = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, this.cancel)
         try:
             try:
                 await cell.start()
@@ -581,6 +640,6 @@
 
     try:
         return asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         return 2
