--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -48,6 +48,7 @@
 
 POOL = "planner"
 KEY = "key-one"
+OTHER_KEY = "key-two"
 HEARTBEAT_S = 1.5
 CLIENT_TIMEOUT_S = 3.0
 CONTACT_S = 4.0
@@ -474,7 +475,13 @@
                 "apiKeys": [KEY],
                 "weight": 1000,
                 "upperBound": {"cpu": 0, "requestedMemoryMb": 0, "gpus": 0},
-            }
+            },
+            {
+                "name": "stalls",
+                "apiKeys": [OTHER_KEY],
+                "weight": 1000,
+                "upperBound": {"cpu": 0, "requestedMemoryMb": 0, "gpus": 0},
+            },
         ]
         document = {
             "version": 3,
@@ -526,15 +533,24 @@
         )
         return used, self.cores * len(self.minions_by_id)
 
+    async def readiness(self, node: Node) -> int | None:
+        """Return the status with which a machine answers the platform's probe."""
+        return await self._get(node.ready, "/-/readiness")
+
     # Client
 
     async def call(
-        self, method: str, target: str, body: bytes = b"", node: Node | None = None
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        node: Node | None = None,
+        key: str = KEY,
     ) -> tuple[int | None, Any]:
         """Send one request to a machine and return the status and the body."""
         node = node or self.rng.choice(list(self.nodes_by_name.values()))
         headers = [
-            ("Authorization", f"Bearer {KEY}"),
+            ("Authorization", f"Bearer {key}"),
             ("Request-Deadline", "3000"),
             ("Content-Type", "application/json"),
         ]
@@ -556,8 +572,8 @@
         )
         return result.ok.status, answer
 
-    async def submit(self, steps: list[dict[str, Any]]) -> Submitted:
-        """Hand in one job, with four retries."""
+    def new_job(self, steps: list[dict[str, Any]]) -> tuple[Submitted, bytes]:
+        """Return a job that is not handed in yet, with the body of its submission."""
         job_id = f"{self.rng.getrandbits(64):016x}"
         job = self.jobs[job_id] = Submitted(job_id, f"/work/{job_id}")
         document = {"specification": f"do {job_id}", "steps": steps}
@@ -566,6 +582,11 @@
             job_id, Queue(name="work", host="", path_prefix="/work/", pool=POOL), body
         )
         self.fleet.specs_by_id[job_id] = replace_customer(spec)
+        return job, body
+
+    async def submit(self, steps: list[dict[str, Any]]) -> Submitted:
+        """Hand in one job, with four retries."""
+        job, body = self.new_job(steps)
         for _ in range(5):
             status, _ = await self.call("POST", job.target, body)
             if status is not None and 200 <= status < 300:
