Send orders again whose sender has ended

Cause: OrderSender.stop and start ended for good when the term was not valid at that instant. A renewal makes a term valid again in the same epoch, and nothing else knew of the order: the run stayed STOPPING without an answer, neither pending nor running.

Change: five times a second the holder looks for runs whose start or stop order is unsettled and not being sent, and sends them again. A run that is still listed a second after its stop order was answered is stopped again.

Ruled out: a lost acknowledgement or inventory; both are repeated by the poller's loop.

--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -47,7 +47,7 @@
 """Time for which a takeover enters jobs before other tasks run, e.g. renewals."""
 
 REVIEW_INTERVAL_S = 0.2
-"""Interval between checks for stalled runs."""
+"""Interval between checks for stalled runs and abandoned orders."""
 
 LEASE_RENEWAL_GRACE_S = 6.0
 """Time for which a holder that failed to renew its claim still renews run leases."""
@@ -360,19 +360,34 @@
             ledger.set_config(deps.config.config)
         self._report_runs()
         ledger.expire()
-        if deps.clock.now() >= self._next_review_at:
+        review = deps.clock.now() >= self._next_review_at
+        if review:
             self._next_review_at = deps.clock.now() + REVIEW_INTERVAL_S
             self._review_runs()
-        stops, ledger.stops = ledger.stops, []
-        for run in stops:
-            if run.state is RunState.STOPPING:
-                deps.metrics.observe_stop(run.stop_reason)
-                self._spawn(self._sender.stop(run))
+        self._send_stops()
+        if review:
+            self._repeat_abandoned_orders()
         with deps.metrics.decision_s.time():
             plan = self._planner.plan()
         self._execute(plan)
         self._journal.notify_progress()
 
+    def _send_stops(self) -> None:
+        stops, self.ledger.stops = self.ledger.stops, []
+        for run in stops:
+            if run.state is RunState.STOPPING:
+                self._deps.metrics.observe_stop(run.stop_reason)
+                self._spawn(self._sender.stop(run))
+
+    def _repeat_abandoned_orders(self) -> None:
+        """Send the orders again that ended unsettled, e.g. between two renewals."""
+        for run in self._sender.find_abandoned():
+            step = self.ledger.step_of(run.task)
+            if run.state is RunState.STOPPING:
+                self._spawn(self._sender.stop(run))
+            elif step is not None:
+                self._spawn(self._sender.start(run, step))
+
     def _report_runs(self) -> None:
         """Log the runs that ended since the last round, in one line; count the others."""
         for reason in self.ledger.given_up:
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -511,6 +511,19 @@
             run.answered_at = None
             self.stops.append(run)
 
+    def find_unsettled(self) -> list[Run]:
+        """Return the runs whose start or stop order has to be sent, or sent again.
+
+        No start order is sent to a failure domain under evacuation.
+        """
+        return [
+            run
+            for worker in self.workers_by_id.values()
+            for run in worker.runs_by_id.values()
+            if (run.state is RunState.STOPPING and run.answered_at is None)
+            or (run.state is RunState.STARTING and not self.is_evacuated(worker))
+        ]
+
     def await_inventory(self, run: Run, reason: str) -> None:
         """Keep a run that can no longer start until the next inventory lists its end.
 
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from briarrun_cell.clock import Clock
@@ -60,7 +62,12 @@
 
 
 class OrderSender:
-    """Sends the start and stop orders of one term."""
+    """Sends the start and stop orders of one term.
+
+    An order is repeated until it is settled, but only while the term is valid. A term
+    that ends may become valid again, so callers send the orders that
+    ``find_abandoned`` returns once more.
+    """
 
     def __init__(
         self, workers: Workers, ledger: Ledger, clock: Clock, guard: HolderTermGuard
@@ -69,9 +76,27 @@
         self._ledger = ledger
         self._clock = clock
         self._guard = guard
+        self._starting: set[Run] = set()
+        self._stopping: set[Run] = set()
+
+    def find_abandoned(self) -> list[Run]:
+        """Return the runs with an unsettled order that is not being sent."""
+        return [
+            run
+            for run in self._ledger.find_unsettled()
+            if run
+            not in (
+                self._stopping if run.state is RunState.STOPPING else self._starting
+            )
+        ]
 
     async def start(self, run: Run, step: Step) -> None:
         """Start a planned run; stop it if no order is answered."""
+        if run not in self._starting:
+            with _member(self._starting, run):
+                await self._start(run, step)
+
+    async def _start(self, run: Run, step: Step) -> None:
         while run.state in (RunState.PLANNED, RunState.STARTING):
             if not self._guard.is_holder():
                 if run.state is RunState.PLANNED:
@@ -210,6 +235,11 @@
 
     async def stop(self, run: Run) -> None:
         """Stop a run; repeat the order until it is answered or the worker is gone."""
+        if run not in self._stopping:
+            with _member(self._stopping, run):
+                await self._stop(run)
+
+    async def _stop(self, run: Run) -> None:
         while run.state is RunState.STOPPING and not run.worker.dead:
             worker = run.worker
             if not self._guard.is_holder():
@@ -247,6 +277,16 @@
             await asyncio.sleep(RETRY_S)
 
 
+@contextmanager
+def _member(runs: set[Run], run: Run) -> Iterator[None]:
+    """Keep a run in a set for the duration of the context."""
+    runs.add(run)
+    try:
+        yield
+    finally:
+        runs.discard(run)
+
+
 class WorkerPoller:
     """Polls one worker, which renews its run leases and reports ended runs.
 
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -21,6 +21,10 @@
 MAX_MISSING_POLLS = 2
 """Number of consecutive inventories without a run after which it counts as lost."""
 
+STOP_REPEAT_S = 1.0
+"""Time after an answered stop order after which a run that is still listed is stopped
+again; a worker needs less than half of it."""
+
 _LOG = ComponentLog("holder")
 
 
@@ -55,6 +59,7 @@
                 self._adopt(worker, report)
             else:
                 self._update_run(run, report, now)
+                self._check_stop(run, sent_at)
         if inventory.lists_all_ends:
             for key, run in list(worker.runs_by_id.items()):
                 if key not in listed:
@@ -93,6 +98,13 @@
                 )
             run.percent, run.percent_at = report.percent, now
 
+    def _check_stop(self, run: Run, sent_at: float) -> None:
+        """Let a run be stopped again that goes on although its worker was told to."""
+        if run.state is not RunState.STOPPING or run.answered_at is None:
+            return
+        if sent_at > run.answered_at + STOP_REPEAT_S:
+            run.answered_at = None
+
     def _adopt(self, worker: Worker, report: RunReport) -> None:
         """Add a reported run that is not in the ledger.
 
