--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -282,8 +282,12 @@
     async def _run_cleanup(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            if self.is_holder():
+            if not self.is_holder():
+                continue
+            try:
                 await self._journal.clean_up()
+            except Exception as error:  # Old jobs would be kept for ever.
+                _LOG.error("old jobs could not be deleted", detail=repr(error))
 
     async def _run_wait_reports(self) -> None:
         while True:
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -23,6 +23,9 @@
 MAX_BATCH_JOBS = 400
 """Maximum number of jobs per append."""
 
+RETRY_S = 0.1
+"""Pause after a flush that failed."""
+
 COMPACT_AFTER_S = 10.0
 """Time after the end of a job after which its steps are removed from the job stream. By
 then the leases of all its runs have expired."""
@@ -99,7 +102,11 @@
             await self._wake.wait()
             await asyncio.sleep(BATCH_DELAY_S)
             self._wake.clear()
-            await self._flush()
+            try:
+                await self._flush()
+            except Exception as error:  # Starts and ends wait for the progress.
+                _LOG.error("progress could not be stored", detail=repr(error))
+                await asyncio.sleep(RETRY_S)
             if self._ledger.dirty or self._flush_waiters or self._pass.job_ids:
                 self._wake.set()
 
@@ -120,6 +127,15 @@
         job_ids = self._pass.job_ids[:MAX_BATCH_JOBS]
         del self._pass.job_ids[:MAX_BATCH_JOBS]
         ledger.dirty.difference_update(job_ids)
+        try:
+            await self._store_progress(job_ids)
+        except Exception:
+            self._pass.job_ids[:0] = job_ids
+            raise
+        if not self._pass.job_ids:
+            self._end_pass(self._pass)
+
+    async def _store_progress(self, job_ids: list[str]) -> None:
         encoded = [
             record
             for job_id in job_ids
@@ -132,8 +148,6 @@
             )
             del encoded[: len(batch)]
             await self._append(batch)
-        if not self._pass.job_ids:
-            self._end_pass(self._pass)
 
     def _progress_record(self, job_id: str) -> Record | None:
         """Return the record of a job's progress; the job fails if it cannot be kept."""
--- a/tests/cell/test_abandoned_orders.py
+++ b/tests/cell/test_abandoned_orders.py
@@ -1,19 +1,36 @@
-"""Tests of orders that are still due after the coroutine that sent them has ended."""
+"""Tests of work that is still due after the coroutine that did it has ended."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any, cast
 
 import pytest
 
 from briarrun_cell.decisions.planner import Planner
-from briarrun_cell.model import RunReport
+from briarrun_cell.holder import CLEANUP_INTERVAL_S
+from briarrun_cell.job_table import JobTable
+from briarrun_cell.journal import COMPACT_AFTER_S, Journal
+from briarrun_cell.model import JobSpec, RunReport
 from briarrun_cell.orders import OrderSender
-from briarrun_cell.ports import OrderOutcome, WorkerAnswer, Workers
+from briarrun_cell.ports import (
+    AppendResult,
+    OrderOutcome,
+    Record,
+    Topic,
+    WorkerAnswer,
+    Workers,
+)
 from briarrun_cell.reconciler import STOP_REPEAT_S
+from briarrun_cell.records import decode
 from briarrun_cell.workers import Run, RunState, StopReason
+from tests.cell.running import with_cell
 from tests.cell.test_ledger import ManualClock, job, make_ledger, poll, started
 from tests.cell.test_unsettled_starts import Guard
+from tools.emulator.cell.cell import FakeCell, step
+from tools.emulator.cell.store import FakeStore, StoreView
 
 pytestmark = pytest.mark.looptime
 
@@ -140,3 +157,60 @@
     report = RunReport(run.task, run.number, "", 0, 0.0)
     poll(order.ledger, run.worker, running=(report,))
     assert order.abandoned() == ([run] if repeated else [])
+
+
+async def test_progress_that_could_not_be_encoded_is_stored_later() -> None:
+    """Guards against starts that wait for ever since the journal has ended (LOST)."""
+    ledger = make_ledger()
+    store = StoreView(FakeStore(random.Random(1)))
+    for name in ("first", "second", "third"):
+        job(ledger, name)
+        ledger.dirty.add(name)
+    odd = ledger.jobs_by_id["second"].progress
+    odd.begun = cast("bool", object())
+    journal = Journal(store, ledger.clock, ledger, JobTable(), 60.0, lambda: None)
+    await journal.fence()
+    running = asyncio.create_task(journal.run())
+    try:
+        flushed = asyncio.create_task(journal.wait_flushed())
+        await asyncio.sleep(0.5)
+        assert not flushed.done()
+        odd.begun = True
+        async with asyncio.timeout(5.0):
+            await flushed
+    finally:
+        running.cancel()
+    result = await store.read(Topic.JOBS, 0, wait_s=0.0, timeout_s=1.0)
+    assert {record.key for record in result.records} == {
+        "p/first",
+        "p/second",
+        "p/third",
+    }
+
+
+@with_cell()
+async def test_old_jobs_are_deleted_although_one_deletion_failed(
+    cell: FakeCell,
+) -> None:
+    """Guards against jobs that are kept for ever after one exception."""
+    spec = cell.spec(step(1, 100))
+    await cell.submit(spec)
+    assert await cell.finished(cell.accepted, 5.0) == set()
+    holder = await cell.wait_for_holder()
+    append, failures = holder.store.append, 0
+
+    async def fail_once(
+        topic: Topic, records: Sequence[Record], **options: Any
+    ) -> AppendResult:
+        nonlocal failures
+        if topic is Topic.JOBS and not options.get("producer") and not failures:
+            failures += 1
+            raise RuntimeError("bug")
+        return await append(topic, records, **options)
+
+    holder.store.append = fail_once  # type: ignore[method-assign]
+    await asyncio.sleep(COMPACT_AFTER_S + 3 * CLEANUP_INTERVAL_S)
+    assert failures == 1
+    newest = cell.store.newest(Topic.JOBS).records
+    kept = [content for _, content in map(decode, newest)]
+    assert all(not each.steps for each in kept if isinstance(each, JobSpec))
