Store no cancellation of a job that does not exist

Cause: Frontend.cancel stored the cancellation before it looked for the job, and the table applies it to whatever job comes under the id. Each such DELETE also left a record for good.

Change: a VM that does not know the job reads the end of the stream after the DELETE has arrived and applies all before it; a VM without a table asks a replica to do so. Without a job the answer is 410 and nothing is stored. If there is one, or this cannot be told within 0.5 s, the cancellation is stored, answered 2xx, and holds for good.

Ruled out: applying cancellations by their place in the stream. Why it works: a stored cancellation and the answer to its DELETE agree, in any order of records; a 410 has no effect.

--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -12,7 +12,7 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.config_view import ConfigView
 from briarrun_cell.decisions.store_silence import retry_after_s
-from briarrun_cell.job_view import JobView
+from briarrun_cell.job_view import JobAnswer, JobView
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import FINAL_STATES, JobSpec, JobState, Queue, StepSpec
 from briarrun_cell.ports import Record
@@ -202,21 +202,42 @@
         queue: Queue | None = None,
         waits_s: float | None = None,
     ) -> Reply:
-        """Store the cancellation of a job."""
-        view = self._view()
-        if view.known_state(job_id) in FINAL_STATES:
+        """Store the cancellation of a job, unless there is no such job.
+
+        A stored cancellation holds for good, also for a job that is stored after it.
+        Therefore nothing is stored if the caller is told that there is no such job. If
+        that cannot be told in time, the job counts as cancelled.
+        """
+        began_at = self._clock.now()
+        if waits_s is None:
+            waits_s = DEFAULT_WAIT_S if queue is None else queue.timeout_s
+        answer = await self._confirmed_state(job_id)
+        if answer.state in FINAL_STATES:
             return Reply(RequestOutcome.CANCELLED, customer=customer)
-        # Another VM may just have accepted the job, so the cancellation is stored
-        # before the job is looked up again.
+        if answer.state is None and answer.current:
+            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
         record = records.cancellation_record(job_id, self._clock.wall_ms())
-        reply = await self._write(record, queue, job_id, waits_s)
-        _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
-        if reply.request_outcome is RequestOutcome.ACCEPTED:
-            answer = await view.state(job_id, wait_for_outcome=False)
-            if answer.state is None and answer.current:
-                return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        left_s = max(0.0, waits_s - (self._clock.now() - began_at))
+        reply = await self._write(record, queue, job_id, left_s)
+        _LOG.info(
+            "handled cancellation",
+            job=job_id,
+            outcome=reply.request_outcome,
+            known=answer.state is not None,
+        )
         return with_outcome(reply, RequestOutcome.CANCELLED, customer)
 
+    async def _confirmed_state(self, job_id: str) -> JobAnswer:
+        """Return a state of a job, without I/O while nothing could be stored."""
+        view = self._view()
+        if self._store_takes_no_writes:
+            return JobAnswer(view.known_state(job_id), current=False)
+        return await view.confirmed_state(job_id)
+
+    @property
+    def _store_takes_no_writes(self) -> bool:
+        return self._monitor.is_silent() or self.store_is_unreachable
+
     @property
     def store_is_unreachable(self) -> bool:
         """Whether the store has not answered this VM for too long."""
@@ -231,7 +252,7 @@
         self, record: Record, queue: Queue | None, job_id: str, waits_s: float | None
     ) -> Reply:
         result = WriteResult(WriteOutcome.UNREACHABLE)
-        if not self._monitor.is_silent() and not self.store_is_unreachable:
+        if not self._store_takes_no_writes:
             if waits_s is None:
                 waits_s = DEFAULT_WAIT_S if queue is None else queue.timeout_s
             result = await self._writer.write(
--- a/packages/cell/src/briarrun_cell/job_view.py
+++ b/packages/cell/src/briarrun_cell/job_view.py
@@ -22,6 +22,10 @@
 """Timeout of a refresh of the job view, after which a request is answered from the
 present view."""
 
+CATCH_UP_TIMEOUT_S = 0.5
+"""Timeout for reading all that is stored, after which a job that is not known may exist.
+It is shorter than that of a question to a replica."""
+
 PEER_TIMEOUT_S = 0.6
 """Timeout of a question to a replica, which may wait for the outcome of the job."""
 
@@ -80,6 +84,14 @@
         ``wait_for_outcome`` allows a short wait if the job may end soon.
         """
 
+    @abstractmethod
+    async def confirmed_state(self, job_id: str) -> JobAnswer:
+        """Return a state of a job.
+
+        A job that is not known in a ``current`` view was not stored at the time of the
+        call.
+        """
+
     @abstractmethod
     async def count_waiting(self, queue: str) -> CountAnswer:
         """Return the number of accepted jobs of a queue with no started task."""
@@ -112,6 +124,14 @@
                 await self._table.wait_for_outcome(job_id, wait_s)
         return JobAnswer(self.known_state(job_id), self._is_current())
 
+    async def confirmed_state(self, job_id: str) -> JobAnswer:
+        """Return the state in the table; reads all that is stored if there is none."""
+        state = self.known_state(job_id)
+        if state is not None:
+            return JobAnswer(state, current=True)
+        current = await self._tail.catch_up(CATCH_UP_TIMEOUT_S)
+        return JobAnswer(self.known_state(job_id), current)
+
     async def count_waiting(self, queue: str) -> CountAnswer:
         """Return the number of waiting jobs after a refresh of the table."""
         await self._tail.refresh(VIEW_REFRESH_TIMEOUT_S)
@@ -134,6 +154,12 @@
     ) -> JobAnswer:
         """Return the state of a job as a replica knows it."""
 
+    @abstractmethod
+    async def confirmed_state_at(
+        self, vm: EntryVm, job_id: str, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state of a job; see ``JobView.confirmed_state``."""
+
     @abstractmethod
     async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
         """Return the number of waiting jobs of a queue as a replica knows it."""
@@ -185,6 +211,14 @@
         )
         return answer or JobAnswer(None, current=False)
 
+    async def confirmed_state(self, job_id: str) -> JobAnswer:
+        """Return the answer of the first replica that knows the job or is current."""
+        answer = await self._ask(
+            lambda vm: self._client.confirmed_state_at(vm, job_id, PEER_TIMEOUT_S),
+            lambda each: each.state is not None or each.current,
+        )
+        return answer or JobAnswer(None, current=False)
+
     async def count_waiting(self, queue: str) -> CountAnswer:
         """Return the answer of the first replica with a current view."""
         answer = await self._ask(
--- a/packages/cell/src/briarrun_cell/peers.py
+++ b/packages/cell/src/briarrun_cell/peers.py
@@ -101,10 +101,11 @@
 
 
 class StateCall(msgspec.Struct, frozen=True, kw_only=True):
-    """Question for the state of a job."""
+    """Question for the state of a job; ``confirmed`` is unknown to earlier versions."""
 
     job_id: str
     wait_for_outcome: bool
+    confirmed: bool = False
 
 
 class StateAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -169,9 +170,12 @@
 
     async def _state(self, body: bytes) -> HttpResponse:
         call = decode_json(body, StateCall)
-        answer = await self._view.state(
-            call.job_id, wait_for_outcome=call.wait_for_outcome
-        )
+        if call.confirmed:
+            answer = await self._view.confirmed_state(call.job_id)
+        else:
+            answer = await self._view.state(
+                call.job_id, wait_for_outcome=call.wait_for_outcome
+            )
         return HttpResponse.of_json(
             200, StateAnswer(state=answer.state, current=answer.current)
         )
@@ -310,6 +314,18 @@
     ) -> JobAnswer:
         """Return the state of a job as a replica knows it."""
         call = StateCall(job_id=job_id, wait_for_outcome=wait_for_outcome)
+        return await self._ask_state(vm, call, timeout_s)
+
+    async def confirmed_state_at(
+        self, vm: EntryVm, job_id: str, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state of a job; a replica reads all that is stored first."""
+        call = StateCall(job_id=job_id, wait_for_outcome=False, confirmed=True)
+        return await self._ask_state(vm, call, timeout_s)
+
+    async def _ask_state(
+        self, vm: EntryVm, call: StateCall, timeout_s: float
+    ) -> JobAnswer:
         body = await self._ask(vm, STATE_PATH, msgspec.json.encode(call), timeout_s)
         answer = _decode_answer(body, StateAnswer)
         return JobAnswer(answer.state, answer.current)
--- a/packages/cell/src/briarrun_cell/tail.py
+++ b/packages/cell/src/briarrun_cell/tail.py
@@ -157,6 +157,25 @@
         except TimeoutError:
             return
 
+    async def catch_up(self, max_wait_s: float) -> bool:
+        """Apply all records that are stored by now; return False if it takes too long.
+
+        Unlike ``refresh``, takes no open long poll for an answer: the end of the topic
+        is read after the call.
+        """
+        start = self.next_offset
+        if start is None:
+            return False
+        try:
+            async with asyncio.timeout(max_wait_s):
+                result = await self._store.read(
+                    self._topic, start, wait_s=0.0, timeout_s=max_wait_s
+                )
+                await self.wait_for_offset(result.end)
+        except (TimeoutError, StoreUnavailable, HistoryTruncated):
+            return False
+        return True
+
     @contextmanager
     def followed(self) -> Iterator[None]:
         """Read new records soon after they are written, as long as the context lasts."""
--- a/tests/cell/test_peers.py
+++ b/tests/cell/test_peers.py
@@ -36,6 +36,9 @@
     async def state(self, job_id: str, *, wait_for_outcome: bool) -> JobAnswer:
         return JobAnswer(self.known_state(job_id), current=wait_for_outcome)
 
+    async def confirmed_state(self, job_id: str) -> JobAnswer:
+        return JobAnswer(self.known_state(job_id), current=job_id == "gone")
+
     async def count_waiting(self, queue: str) -> CountAnswer:
         return CountAnswer(3, current=queue == "normal")
 
@@ -136,6 +139,10 @@
         answer = await client.state_at(vm, job_id, current, 2.0)
         known = JobState.RUNNING if job_id == "known" else None
         assert answer == JobAnswer(known, current)
+    for job_id, current in (("known", False), ("other", False), ("gone", True)):
+        answer = await client.confirmed_state_at(vm, job_id, 2.0)
+        known = JobState.RUNNING if job_id == "known" else None
+        assert answer == JobAnswer(known, current)
     for queue in ("normal", "urgent"):
         counted = await client.count_at(vm, queue, 2.0)
         assert counted == CountAnswer(3, current=queue == "normal")
--- a/tools/emulator/cell/peers.py
+++ b/tools/emulator/cell/peers.py
@@ -107,6 +107,17 @@
         except TimeoutError as error:
             raise PeerUnavailable(f"{vm.vm} is silent") from error
 
+    async def confirmed_state_at(
+        self, vm: EntryVm, job_id: str, timeout_s: float
+    ) -> JobAnswer:
+        """Return the state after the replica has read all that is stored."""
+        view = await self._reach(vm, timeout_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await view.confirmed_state(job_id)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{vm.vm} is silent") from error
+
     async def count_at(self, vm: EntryVm, queue: str, timeout_s: float) -> CountAnswer:
         """Return the count as the replica knows it."""
         return await (await self._reach(vm, timeout_s)).count_waiting(queue)
