Delete cancellations whose job never came

Cause: the deletion of old jobs looks only at jobs with an outcome, and left out cancelled ones without a cancellation.

Change: the holder deletes cancellations without a job after the retention of jobs, and all ended jobs. The deletion of a cancellation leaves a job of the same id in the table. Evidence: test_cancellation_without_a_job_is_deleted and test_cancelled_job_without_its_cancellation_is_deleted fail without the change. Why it works: within the retention a stored cancellation holds for a job that comes late; afterwards nothing that a caller was told depends on it.

--- a/packages/cell/src/briarrun_cell/job_table.py
+++ b/packages/cell/src/briarrun_cell/job_table.py
@@ -14,6 +14,7 @@
     JobProgress,
     UnreadableRecord,
     decode,
+    is_cancellation,
 )
 from briarrun_cell.unreadable import UnreadableRecords
 
@@ -24,11 +25,13 @@
 class JobEntry:
     """State of one job according to the stream; its records may come in any order.
 
-    After a job has been compacted its spec has no steps.
+    After a job has been compacted its spec has no steps. ``cancelled_ms`` is the time of
+    the cancellation.
     """
 
     spec: JobSpec | None = None
     cancelled: bool = False
+    cancelled_ms: int = 0
     progress: JobProgress | None = None
 
     @property
@@ -42,6 +45,11 @@
             return JobState.RUNNING
         return JobState.QUEUED
 
+    @property
+    def without_job(self) -> bool:
+        """Whether there is a cancellation, but no job that it is for."""
+        return self.cancelled and self.spec is None and self.progress is None
+
     @property
     def final(self) -> bool:
         """Whether the job has reached a final state."""
@@ -122,7 +130,7 @@
             return None
         self._unreadable.clear(record.key)
         if content is None:
-            self.by_id.pop(job_id, None)
+            self._delete(job_id, record)
             return job_id
         entry = self.by_id.setdefault(job_id, JobEntry())
         if isinstance(content, JobSpec):
@@ -132,6 +140,15 @@
                 entry.spec = content
         elif isinstance(content, Cancellation):
             entry.cancelled = True
+            entry.cancelled_ms = content.cancelled_ms
         else:
             entry.progress = content
         return job_id
+
+    def _delete(self, job_id: str, record: Record) -> None:
+        """Delete a job, or only its cancellation."""
+        entry = self.by_id.get(job_id)
+        if entry is not None and entry.spec is not None and is_cancellation(record):
+            entry.cancelled = False
+        else:
+            self.by_id.pop(job_id, None)
--- a/packages/cell/src/briarrun_cell/journal.py
+++ b/packages/cell/src/briarrun_cell/journal.py
@@ -199,17 +199,20 @@
         self._ledger.forget_finished_jobs()
 
     async def clean_up(self) -> None:
-        """Delete jobs past their retention time; compact those that ended before."""
+        """Delete jobs past their retention time; compact those that ended before.
+
+        Also deletes cancellations of jobs that were never stored.
+        """
         now_ms = self._clock.wall_ms()
         delete_before_ms = now_ms - int(self._keep_final_s * 1000)
         compact_before_ms = now_ms - int(COMPACT_AFTER_S * 1000)
         batch: list[Record] = []
         for job_id, entry in self._table.by_id.items():
+            if entry.without_job and entry.cancelled_ms < delete_before_ms:
+                batch.append(records.cancellation_deletion_record(job_id))
             progress = entry.progress
             if progress is None or progress.final is None:
                 continue
-            if progress.final is JobState.CANCELLED and not entry.cancelled:
-                continue
             if progress.final_ms < delete_before_ms:
                 batch += records.deletion_records(job_id)
             elif (
--- a/packages/cell/src/briarrun_cell/records.py
+++ b/packages/cell/src/briarrun_cell/records.py
@@ -133,6 +133,11 @@
     return record.key.startswith(_JOB) and record.value is not None
 
 
+def is_cancellation(record: Record) -> bool:
+    """Return whether a record is a cancellation, or deletes one."""
+    return record.key.startswith(_CANCEL)
+
+
 def compacted_job_record(spec: JobSpec) -> Record:
     """Return the record of a finished job without its steps and payload."""
     terms = Queue(name=spec.queue, host="", path_prefix="", pool="")
@@ -153,6 +158,11 @@
     return [Record(prefix + job_id, None) for prefix in (_JOB, _CANCEL, _PROGRESS)]
 
 
+def cancellation_deletion_record(job_id: str) -> Record:
+    """Return the record that deletes the cancellation of a job."""
+    return Record(_CANCEL + job_id, None)
+
+
 class UnreadableRecord(DecodeError):  # noqa: N818 - names the record
     """A record of the job stream is malformed."""
 
--- a/tests/cell/test_cancellations.py
+++ b/tests/cell/test_cancellations.py
@@ -10,6 +10,12 @@
 from briarrun_cell.holder import CLEANUP_INTERVAL_S
 from briarrun_cell.model import JobSpec, JobState
 from briarrun_cell.ports import Topic
+from briarrun_cell.records import (
+    JobProgress,
+    cancellation_record,
+    job_record,
+    progress_record,
+)
 from tests.cell.running import with_cell
 from tools.emulator.cell.cell import FakeCell, step
 from tools.emulator.cell.store import StoreView
@@ -204,6 +210,32 @@
         assert vm.core is not None and vm.core.table.by_id == {}
 
 
+@with_cell()
+async def test_cancellation_without_a_job_is_deleted(cell: FakeCell) -> None:
+    """Guards against records that are kept for ever for jobs that never come."""
+    spec = cell.spec()
+    record = cancellation_record(spec.job_id, 0)
+    cell.store.put(Topic.JOBS, record.key, record.value)
+    await asyncio.sleep(2 * CLEANUP_INTERVAL_S)
+    assert record.key not in _stored_keys(cell)
+    await cell.submit(spec)
+    assert await cell.finished({spec.job_id}, 5.0) == set()
+    assert await cell.state(spec.job_id) is JobState.COMPLETED
+
+
+@with_cell()
+async def test_cancelled_job_without_its_cancellation_is_deleted(
+    cell: FakeCell,
+) -> None:
+    """Guards against a job that is kept for ever since its cancellation was deleted."""
+    spec = cell.spec()
+    progress = JobProgress(final=JobState.CANCELLED, final_ms=1)
+    for record in (job_record(spec), progress_record(spec.job_id, progress)):
+        cell.store.put(Topic.JOBS, record.key, record.value)
+    await asyncio.sleep(2 * CLEANUP_INTERVAL_S)
+    assert _stored_keys(cell) == set()
+
+
 @pytest.mark.parametrize("cancels", [False, True], ids=["completed", "cancelled"])
 @with_cell()
 async def test_job_that_is_submitted_again_past_its_retention_runs(
