Bound leases by what a worker grants where calls may be misread

Cause: a lease is asked for as a time on the clock of one life of a worker. When the next life had seen its token, the holder assumed 6.03 s.

Change: a life that has restarted in this term, or that a new holder has known for less than 25 s, may hold the longest lease from the moment at which it has seen the token. A run whose start order an unnoticed life may have got is kept for the longest lease after the last call; an answer with another clock does not confirm it. After its term a holder renews leases only in a conversation. A new holder waits for the longest lease at least.

Why it works: the bound does not depend on which life a call has reached, only on what a worker grants and on the last moment at which an earlier call could reach it. Price: where workers grant 10 s, tasks of a worker that is cut off just after its restart, or of one a new holder has not known for long, start again after up to 10.4 s instead of 6 s.

--- a/packages/cell/src/briarrun_cell/core.py
+++ b/packages/cell/src/briarrun_cell/core.py
@@ -24,7 +24,7 @@
 from briarrun_cell.holder import LEASE_RENEWAL_GRACE_S, Holder, HolderDependencies
 from briarrun_cell.job_table import JobTable
 from briarrun_cell.job_view import JobView, LocalJobView, PeerJobView, ReplicaClient
-from briarrun_cell.ledger import LeaseDurations
+from briarrun_cell.leases import LeaseDurations
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.operations import Explainer, NotHolder
@@ -186,7 +186,10 @@
         lease_durations = LeaseDurations(
             lease_s=lease_s,
             start_s=START_ORDER_VALIDITY_S,
-            longest_s=lease_s * 1.05 + LEASE_RENEWAL_GRACE_S,
+            longest_s=max(
+                lease_s * 1.05 + LEASE_RENEWAL_GRACE_S, settings.max_lease_s * 1.05
+            ),
+            granted_s=settings.max_lease_s,
         )
         self._registry = WorkerRegistry(
             ports.entry_decoder, clock, lease_durations.longest_s
--- a/packages/cell/src/briarrun_cell/holder.py
+++ b/packages/cell/src/briarrun_cell/holder.py
@@ -18,7 +18,8 @@
 from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.job_table import JobEntry, JobTable
 from briarrun_cell.journal import Journal
-from briarrun_cell.ledger import LeaseDurations, Ledger
+from briarrun_cell.leases import LeaseDurations
+from briarrun_cell.ledger import Ledger
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import JobSpec
--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from briarrun_cell.clock import Clock
 from briarrun_cell.decisions.customer_shares import CustomerShares
@@ -11,6 +11,7 @@
 from briarrun_cell.decisions.run_times import RunTimeRatios
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import Job, Step, create_job
+from briarrun_cell.leases import LeaseBound, LeaseDurations
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.model import (
     CellConfig,
@@ -45,18 +46,6 @@
 _LOG = ComponentLog("holder")
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseDurations:
-    """Durations of run leases and start orders.
-
-    ``longest_s`` is an upper bound of the lease that an earlier holder may have given.
-    """
-
-    lease_s: float
-    start_s: float
-    longest_s: float
-
-
 class Ledger:
     """State of the cell during one term of the holder.
 
@@ -172,7 +161,7 @@
         """Charge a run to the next life of its worker, which may have started it."""
         run.worker.release(run)
         run.worker = successor
-        run.listed = False
+        run.listed = run.confirmed = False
         successor.charge(run)
         if run.state is RunState.STOPPING and run.answered_at is not None:
             # The earlier life was told to stop it, the next one was not.
@@ -182,7 +171,7 @@
     def _add_worker(self, entry: WorkerEntry, lease_end: float) -> Worker:
         """Add a worker whose inventory is not known yet."""
         self._last_token += 1
-        worker = Worker(entry, lease_end, token=self._last_token)
+        worker = Worker(entry, LeaseBound(lease_end), token=self._last_token)
         self.workers_by_id[entry.worker_id] = worker
         # The inventory of an earlier incarnation does not cover assignments to this one.
         self._reported_workers.discard(entry.worker_id)
@@ -217,8 +206,10 @@
                 worker.runs_by_id or not worker.inventory_known
             ):
                 for run in list(worker.runs_by_id.values()):
-                    self.give_up(run, GiveUpReason.LEASE_EXPIRED)
-                self.mark_inventory_known(worker)
+                    if not worker.may_go_on(run, now):
+                        self.give_up(run, GiveUpReason.LEASE_EXPIRED)
+                if not worker.runs_by_id:
+                    self.mark_inventory_known(worker)
             if (
                 not worker.registered
                 and not worker.runs_by_id
@@ -538,6 +529,7 @@
         """Record that a worker confirmed a start."""
         now = self.clock.now()
         run.answered_at = now
+        run.confirmed = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.since = now
--- a/packages/cell/src/briarrun_cell/model.py
+++ b/packages/cell/src/briarrun_cell/model.py
@@ -197,7 +197,7 @@
     ``cold_s`` is the time for which the worker was still slow when the entry was
     written, ``remaining_s`` the minimum time for which it then stayed; None if that is
     not known. ``read_at`` is the time on the clock of this process at which the entry was
-    read.
+    read, ``known_since`` that at which the first entry of this incarnation was read.
     """
 
     worker_id: str
@@ -213,6 +213,7 @@
     cold_s: float = 0.0
     remaining_s: float | None = None
     read_at: float = 0.0
+    known_since: float = 0.0
 
     @property
     def cold_until(self) -> float:
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -15,7 +15,7 @@
 from briarrun_cell.logs import ComponentLog
 from briarrun_cell.ports import OrderOutcome, StartOrder, Workers
 from briarrun_cell.reconciler import InventoryReconciler
-from briarrun_cell.workers import CLOCK_DRIFT, Run, RunState, StopReason, Worker
+from briarrun_cell.workers import Run, RunState, StopReason, Worker
 
 ORDER_TIMEOUT_S = 0.4
 """Timeout of an order, after which it is sent again."""
@@ -115,7 +115,11 @@
                 self._on_evacuated(run, step)
                 return
             outcome = await self._send_start(run, step)
-            if outcome is OrderOutcome.UNKNOWN:
+            if outcome is None:
+                # A poll will show the next life, to which the run may belong.
+                run.unanswered_starts += 1
+                await asyncio.sleep(RETRY_S)
+            elif outcome is OrderOutcome.UNKNOWN:
                 run.unanswered_starts += 1
             elif run.worker is not worker or worker.dead:
                 continue  # It is not known which life of the worker has answered.
@@ -126,18 +130,14 @@
                 self._on_refused(run, step, outcome)
                 return
 
-    async def _send_start(self, run: Run, step: Step) -> OrderOutcome:
+    async def _send_start(self, run: Run, step: Step) -> OrderOutcome | None:
+        """Send a start order; return None if another life of the worker answers."""
         now = self._clock.now()
-        worker = run.worker
-        until_ms = worker.clock_now_ms(now) + int(
-            self._ledger.lease_durations.start_s * 1000
-        )
+        worker, durations = run.worker, self._ledger.lease_durations
+        until_ms = worker.clock_now_ms(now) + int(durations.start_s * 1000)
         ticket = step.advice.tickets_by_worker.get(worker.incarnation_id)
         run.order_until_ms = max(run.order_until_ms, until_ms)
-        worker.lease_end = max(
-            worker.lease_end,
-            now + self._ledger.lease_durations.start_s * (1 + 2 * CLOCK_DRIFT),
-        )
+        worker.lease.extend(durations.start_order_end(now))
         first = run.state is RunState.PLANNED
         run.state = RunState.STARTING
         answer = await self._workers.start(
@@ -153,7 +153,15 @@
             ),
             ORDER_TIMEOUT_S,
         )
-        if answer.outcome is not OrderOutcome.DONE or not first:
+        answered_at = self._clock.now()
+        if answer.outcome.was_sent:
+            worker.misread_lease.extend(durations.granted_end(answered_at))
+        other_life = (
+            run.worker is worker
+            and answer.clock_ms is not None
+            and not worker.may_be_own_clock(answer.clock_ms, now, answered_at)
+        )
+        if answer.outcome is not OrderOutcome.DONE or not first or other_life:
             _LOG.info(
                 "sent start order",
                 job=run.task.job_id,
@@ -163,8 +171,11 @@
                 outcome=answer.outcome,
                 detail=answer.detail,
                 first=first,
+                other_life=other_life,
                 epoch=self._ledger.epoch,
             )
+        if other_life and answer.outcome is OrderOutcome.DONE:
+            return None
         return answer.outcome
 
     def _on_evacuated(self, run: Run, step: Step) -> None:
@@ -333,20 +344,24 @@
 
     async def _poll(self) -> bool:
         worker, ledger = self._worker, self._ledger
+        durations = ledger.lease_durations
         sent_at = self._clock.now()
         first = not worker.inventory_known
         continued, worker.in_conversation = worker.in_conversation, False
         wait_s = POLL_WAIT_S if continued and not first else 0.0
         # Left over from a poll that failed with an exception.
-        worker.lease_end = max(worker.lease_end, worker.requested_lease_end)
+        worker.lease.settle(sent=True)
+        worker.misread_lease.settle(sent=True)
+        timeout_s = wait_s + (FIRST_POLL_TIMEOUT_S if first else POLL_TIMEOUT_S)
         until_ms = None
-        if worker.clock_ms:
-            until_ms = worker.clock_now_ms(sent_at) + int(
-                ledger.lease_durations.lease_s * 1000
+        # On a new connection the next life may answer. After its term a holder renews
+        # no leases there, since its successor does not wait for the longest ones.
+        if worker.clock_ms and (continued or self._guard.is_holder()):
+            until_ms = worker.clock_now_ms(sent_at) + int(durations.lease_s * 1000)
+            worker.lease.requested_end = durations.renewal_end(sent_at)
+            worker.misread_lease.requested_end = durations.granted_end(
+                sent_at + timeout_s
             )
-            longest_s = ledger.lease_durations.lease_s * (1 + 2 * CLOCK_DRIFT)
-            worker.requested_lease_end = sent_at + longest_s
-        timeout_s = wait_s + (FIRST_POLL_TIMEOUT_S if first else POLL_TIMEOUT_S)
         answer = await self._workers.poll(
             worker.entry,
             worker.token,
@@ -355,11 +370,10 @@
             wait_s,
             timeout_s,
         )
+        worker.lease.settle(answer.outcome.was_sent)
+        worker.misread_lease.settle(answer.outcome.was_sent)
         if worker.dead:
             return False
-        if answer.outcome.was_sent:
-            worker.lease_end = max(worker.lease_end, worker.requested_lease_end)
-        worker.requested_lease_end = float("-inf")
         if answer.outcome is OrderOutcome.FENCED:
             self._guard.on_fenced()
             return False
@@ -384,11 +398,14 @@
         worker.in_conversation = True
         has_new_ends = self._reconciler.on_inventory(worker, answer.inventory, sent_at)
         if first and worker.inventory_known:
-            # The worker has seen the token of this term, so that earlier holders cannot
-            # extend its leases any more.
-            longest_s = ledger.lease_durations.lease_s * (1 + 2 * CLOCK_DRIFT)
-            latest_end = self._clock.now() + longest_s
-            worker.lease_end = min(worker.lease_end, latest_end)
+            # The worker has seen the token of this life and term, so that earlier calls
+            # cannot extend its leases any more.
+            now = self._clock.now()
+            known_s = now - worker.entry.known_since
+            misread = worker.restarted or durations.may_be_misread(known_s)
+            worker.lease.limit(
+                durations.granted_end(now) if misread else durations.renewal_end(now)
+            )
         if first:
             ledger.expire()
         if has_new_ends or first:
--- a/packages/cell/src/briarrun_cell/ports.py
+++ b/packages/cell/src/briarrun_cell/ports.py
@@ -204,12 +204,14 @@
 class WorkerAnswer:
     """Answer to an order or a poll.
 
-    ``inventory`` is set only for a successful poll.
+    ``inventory`` is set only for a successful poll. ``clock_ms`` is the time on the clock
+    of the life that answered an order, if it says so.
     """
 
     outcome: OrderOutcome
     inventory: Inventory | None = None
     detail: str = ""
+    clock_ms: int | None = None
 
 
 class Workers(ABC):
--- a/packages/cell/src/briarrun_cell/reconciler.py
+++ b/packages/cell/src/briarrun_cell/reconciler.py
@@ -42,7 +42,8 @@
         if worker.dead:
             return False
         worker.contact_at = now
-        worker.clock_ms, worker.clock_at = inventory.clock_ms, now
+        worker.clock_ms = inventory.clock_ms
+        worker.clock_asked_at, worker.clock_at = sent_at, now
         has_new_ends = False
         if worker.applied or worker.restarted:
             self._count_gap(worker, inventory)
@@ -81,7 +82,7 @@
 
     def _update_run(self, run: Run, report: RunReport, now: float) -> None:
         run.missing_polls = 0
-        run.listed = True
+        run.listed = run.confirmed = True
         if run.state is RunState.STARTING:
             self._ledger.on_started(run)
         if report.checkpoint:
@@ -141,7 +142,7 @@
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = run.base_percent = report.percent
         run.base_at = run.percent_at
-        run.resumed = run.listed = True
+        run.resumed = run.listed = run.confirmed = True
         # Further orders of the earlier holder may be on their way.
         run.unanswered_starts = 1
         self._ledger.mark_job_started(step.job)
--- a/packages/cell/src/briarrun_cell/registry.py
+++ b/packages/cell/src/briarrun_cell/registry.py
@@ -75,7 +75,11 @@
                     self.by_id[record.key] = replace(known, suspended=True)
                 continue
             self._unreadable.clear(record.key)
-            self.by_id[record.key] = replace(entry, read_at=self._read_at(record))
+            self.by_id[record.key] = replace(
+                entry,
+                read_at=self._read_at(record),
+                known_since=self._known_since(entry),
+            )
             self._left_by_id.pop(record.key, None)
         if self.on_change is not None:
             self.on_change()
@@ -95,6 +99,16 @@
             known = self._read_at_by_id[record.key] = (record.offset, self._clock.now())
         return known[1]
 
+    def _known_since(self, entry: WorkerEntry) -> float:
+        """Return the time at which this incarnation was first read.
+
+        Entries without a time of birth do not tell incarnations apart.
+        """
+        known = self.by_id.get(entry.worker_id)
+        if known is None or not entry.born_ms or known.born_ms != entry.born_ms:
+            return self._clock.now()
+        return known.known_since
+
     def _leave(self, worker_id: str) -> None:
         self._read_at_by_id.pop(worker_id, None)
         entry = self.by_id.pop(worker_id, None)
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -6,12 +6,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from briarrun_cell.leases import CLOCK_DRIFT, LeaseBound
 from briarrun_cell.model import TaskId, WorkerEntry
 from briarrun_core.resources import NOTHING, Resources
 
-CLOCK_DRIFT = 0.02
-"""Maximum fraction by which a worker's clock runs slower than the holder's."""
-
 MAX_CONTACT_AGE_S = 1.6
 """Time since the last answered poll after which a worker gets no new runs."""
 
@@ -86,7 +84,8 @@
     the customer's limit. ``order_until_ms`` is a time on the worker's clock after which
     no start order of the run is carried out. ``answered_at`` is the time at which the
     last order was answered. ``resumed`` tells whether the run started from a checkpoint,
-    ``listed`` whether an inventory of the worker's present life has listed the run.
+    ``listed`` whether an inventory of the worker's present life has listed the run, and
+    ``confirmed`` whether that life has certainly got the start order.
     ``base_percent`` and ``base_at`` are the first known progress and its time; None
     if none is known yet, since a resumed run starts with some.
     """
@@ -109,6 +108,7 @@
     checkpoint: str = ""
     resumed: bool = False
     listed: bool = False
+    confirmed: bool = False
     missing_polls: int = 0
     stop_reason: str = ""
 
@@ -158,19 +158,20 @@
     tells whether the registry lists it. ``applied`` and ``acknowledged`` are the
     numbers of the last end reports that are in the ledger and that are durable.
 
-    ``lease_end`` is the time on the holder's clock by which all leases given so far
-    have certainly expired; ``requested_lease_end`` is the same for the poll in flight.
+    ``lease`` bounds the leases of this life. ``misread_lease`` bounds those of a next
+    life that has not been noticed, which may have been given by calls to this one.
 
     ``token`` goes with all calls, so that the worker refuses those that were sent to an
     earlier life. ``restarted`` tells that an earlier life was known in this term, so that
     all ends of this one are to be read.
     ``in_conversation`` tells that the last poll was answered, so that the next one
-    reaches the same process on its connection.
+    reaches the same process on its connection. ``clock_ms`` is the time on its clock at
+    some moment between ``clock_asked_at`` and ``clock_at``.
     """
 
     entry: WorkerEntry
-    lease_end: float
-    requested_lease_end: float = float("-inf")
+    lease: LeaseBound
+    misread_lease: LeaseBound = field(default_factory=LeaseBound)
     used: Resources = NOTHING
     runs_by_id: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     count_by_step: dict[tuple[str, int, int], int] = field(default_factory=dict)
@@ -185,6 +186,7 @@
     restarted: bool = False
     contact_at: float = -1e9
     clock_ms: int = 0
+    clock_asked_at: float = 0.0
     clock_at: float = 0.0
     incarnation_id: str = field(init=False)
     _free: Resources | None = None
@@ -224,14 +226,27 @@
 
     def leases_expired(self, now: float) -> bool:
         """Return whether all leases have expired without contact since then."""
-        end = max(self.lease_end, self.requested_lease_end)
+        end = self.lease.latest_end
         return now >= end and self.contact_at < end
 
+    def may_go_on(self, run: Run, now: float) -> bool:
+        """Return whether a run may go on although the leases have expired.
+
+        A next life that has not been noticed may have got its start order.
+        """
+        return not run.confirmed and now < self.misread_lease.latest_end
+
     def clock_now_ms(self, now: float) -> int:
         """Return a lower bound of the time on the worker's clock."""
         elapsed_s = max(0.0, now - self.clock_at) * (1 - CLOCK_DRIFT)
         return self.clock_ms + int(elapsed_s * 1000)
 
+    def may_be_own_clock(self, clock_ms: int, sent_at: float, now: float) -> bool:
+        """Return whether an answer to a call that was sent can come from this life."""
+        elapsed_s = max(0.0, now - self.clock_asked_at) * (1 + CLOCK_DRIFT)
+        latest_ms = self.clock_ms + int(elapsed_s * 1000) + 1
+        return self.clock_now_ms(sent_at) <= clock_ms <= latest_ms
+
     def free(self) -> Resources:
         """Return the free resources."""
         if self._free is None:
--- a/tests/cell/test_admission.py
+++ b/tests/cell/test_admission.py
@@ -11,7 +11,8 @@
 from briarrun_cell.decisions.admission import AdmissionControl, RefusalReason
 from briarrun_cell.frontend import RequestOutcome
 from briarrun_cell.job_table import JobEntry
-from briarrun_cell.ledger import LeaseDurations, Ledger
+from briarrun_cell.leases import LeaseDurations
+from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import CellConfig, Customer, JobSpec, StepSpec
 from briarrun_core.resources import NOTHING, Resources
 from tests.cell.running import with_cell
@@ -38,7 +39,9 @@
     customers = {name: Customer(name, (), weight, limit) for name in ("roster", "b")}
     config = CellConfig(1, QUEUES, customers)
     clock = ManualClock()
-    ledger = Ledger(clock, 1, config, LeaseDurations(5.8, 2.0, 12.0), lambda job: None)
+    ledger = Ledger(
+        clock, 1, config, LeaseDurations(5.8, 2.0, 12.0, 6.0), lambda job: None
+    )
     ledger.set_workers([entry("w0", cores=16_000)], [])
     return ledger
 
--- a/tests/cell/test_ledger.py
+++ b/tests/cell/test_ledger.py
@@ -9,7 +9,8 @@
 from briarrun_cell.clock import Clock
 from briarrun_cell.decisions.planner import Planner
 from briarrun_cell.job_table import JobEntry
-from briarrun_cell.ledger import GANG_END_GRACE_S, LeaseDurations, Ledger
+from briarrun_cell.leases import LeaseDurations
+from briarrun_cell.ledger import GANG_END_GRACE_S, Ledger
 from briarrun_cell.model import (
     AdviceTerms,
     CellConfig,
@@ -32,7 +33,7 @@
 from briarrun_cell.workers import Run, RunState, StopReason, Worker, worst_in_quarantine
 from briarrun_core.resources import Resources
 
-TERMS = LeaseDurations(lease_s=3.0, start_s=2.0, longest_s=9.0)
+TERMS = LeaseDurations(lease_s=3.0, start_s=2.0, longest_s=9.0, granted_s=3.2)
 URGENT = Queue(name="urgent", host="h", path_prefix="/u/", pool="p", max_attempts=2)
 NORMAL = Queue(
     name="normal", host="h", path_prefix="/n/", pool="p", priority=1, max_attempts=2
--- a/tests/cell/test_worst_load.py
+++ b/tests/cell/test_worst_load.py
@@ -16,6 +16,7 @@
 from briarrun_cell.decisions.ticket_renewal import RenewalLimits
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.jobs import Ticket
+from briarrun_cell.leases import LeaseBound
 from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
     AdviceTerms,
@@ -71,7 +72,9 @@
     """Guards against free cores on each worker that are too few for an urgent task."""
     headroom = UrgentHeadroom()
     headroom.note_task(Resources(cores=task_cores))
-    workers = [Worker(entry(f"w{n}", cores=64_000), 0.0) for n in range(240)]
+    workers = [
+        Worker(entry(f"w{n}", cores=64_000), LeaseBound(0.0)) for n in range(240)
+    ]
     kept = [headroom.kept_on(worker).cores for worker in workers]
     assert set(kept) == {0, free_cores}
     assert 0.03 <= sum(kept) / (240 * 64_000) <= 0.13
@@ -231,7 +234,7 @@
 ) -> None:
     """Guards against a call that takes a second for a wide gang on a large cell."""
     terms = AdviceTerms(decision_s=0.5, per_worker_s=per_worker_s, validity_s=2.0)
-    named = tuple(Worker(entry(f"w{n}"), 0.0) for n in range(workers))
+    named = tuple(Worker(entry(f"w{n}"), LeaseBound(0.0)) for n in range(workers))
     parts = divide(named, terms, vms)
     assert max(len(part) for part in parts) == largest
     assert {each for part in parts for each in part} == set(named)
--- a/tools/emulator/cell/cell.py
+++ b/tools/emulator/cell/cell.py
@@ -153,6 +153,7 @@
     customers: tuple[str, ...] = ("roster", "stalls")
     weight: float = 50.0
     store_limits: StoreLimits = StoreLimits()
+    max_lease_s: float = 6.0
     failure_domains: tuple[str, ...] = ("fd1",)
 
 
@@ -167,7 +168,7 @@
         """Build everything; nothing runs before ``start``."""
         self.rng = random.Random(self.seed)
         self.store = FakeStore(self.rng)
-        self.fleet = Fleet(self.rng)
+        self.fleet = Fleet(self.rng, self.options.max_lease_s)
         self.decoder = FakeDecoder()
         self.vms_by_name: dict[str, CellVm] = {}
         self.accepted: set[str] = set()
@@ -306,7 +307,7 @@
             store_address="",
             advice_address="",
             max_config_age_s=4.4,
-            max_lease_s=6.0,
+            max_lease_s=self.options.max_lease_s,
             grace_s=6.0,
             keep_final_s=120.0,
             cores=self.options.cores_by_vm.get(name, 1.0),
--- a/tools/emulator/cell/fleet.py
+++ b/tools/emulator/cell/fleet.py
@@ -239,7 +239,7 @@
         if self._happens(lost(found.faults)):
             await asyncio.sleep(timeout_s)
             return WorkerAnswer(OrderOutcome.UNKNOWN)
-        return WorkerAnswer(outcome)
+        return WorkerAnswer(outcome, clock_ms=self._clock_ms(found))
 
     async def poll(
         self,
--- a/tools/emulator/cell/holder_replay.py
+++ b/tools/emulator/cell/holder_replay.py
@@ -29,7 +29,7 @@
 from briarrun_cell.evacuations import Evacuations
 from briarrun_cell.holder import HolderDependencies, HolderSession
 from briarrun_cell.job_table import JobTable
-from briarrun_cell.ledger import LeaseDurations
+from briarrun_cell.leases import LeaseDurations
 from briarrun_cell.metrics import Metrics
 from briarrun_cell.model import (
     CellConfig,
@@ -63,6 +63,9 @@
 LONGEST_LEASE_S = 12.0
 """Time for which leases of an earlier holder may hold."""
 
+GRANTED_LEASE_S = 6.0
+"""Longest lease that a worker grants."""
+
 MAX_GANG_FRACTION = 0.7
 """Largest gang as a fraction of what fits on its approved workers or in the limit."""
 
@@ -201,7 +204,7 @@
             confirm_config=lambda: config_tail.wait_confirmed(TAKEOVER_CONFIG_AGE_S),
             vms=lambda: vms,
             lease_durations=LeaseDurations(
-                LEASE_S, START_ORDER_VALIDITY_S, LONGEST_LEASE_S
+                LEASE_S, START_ORDER_VALIDITY_S, LONGEST_LEASE_S, GRANTED_LEASE_S
             ),
             keep_final_s=180.0,
             metrics=Metrics(),
--- a/tools/emulator/cell/load.py
+++ b/tools/emulator/cell/load.py
@@ -22,7 +22,8 @@
 from briarrun_cell.entry_vms import EntryVm
 from briarrun_cell.job_table import JobEntry
 from briarrun_cell.jobs import ADVICE_WORKERS, LATE_FACTOR, Step
-from briarrun_cell.ledger import LeaseDurations, Ledger
+from briarrun_cell.leases import LeaseDurations
+from briarrun_cell.ledger import Ledger
 from briarrun_cell.model import (
     CellConfig,
     EndKind,
@@ -220,7 +221,7 @@
             self._clock,
             1,
             CellConfig(1, queues, self._customers),
-            LeaseDurations(5.8, 2.0, 12.0),
+            LeaseDurations(5.8, 2.0, 12.0, 6.0),
             lambda job_id: self.records_by_id[job_id].spec,
         )
         self._reconciler = InventoryReconciler(self._ledger)
