Write no cancellation while it cannot be told whether the job exists

Change: the answer is 503 with Retry-After, and nothing is written. Why it works: a cancellation is written only for jobs that are known to exist, so that no answer 410 can follow a write in doubt.

--- a/packages/cell/src/briarrun_cell/frontend.py
+++ b/packages/cell/src/briarrun_cell/frontend.py
@@ -202,11 +202,11 @@
         queue: Queue | None = None,
         waits_s: float | None = None,
     ) -> Reply:
-        """Store the cancellation of a job, unless there is no such job.
+        """Store the cancellation of a job that exists.
 
-        A stored cancellation holds for good, also for a job that is stored after it.
-        Therefore nothing is stored if the caller is told that there is no such job. If
-        that cannot be told in time, the job counts as cancelled.
+        A stored cancellation holds for good, also for a job that is stored after it, and
+        a write in doubt may take effect later. Therefore nothing is written unless the
+        job is known.
         """
         began_at = self._clock.now()
         if waits_s is None:
@@ -214,17 +214,12 @@
         answer = await self._confirmed_state(job_id)
         if answer.state in FINAL_STATES:
             return Reply(RequestOutcome.CANCELLED, customer=customer)
-        if answer.state is None and answer.current:
-            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        if answer.state is None:
+            return self._unknown_job_reply(answer)
         record = records.cancellation_record(job_id, self._clock.wall_ms())
         left_s = max(0.0, waits_s - (self._clock.now() - began_at))
         reply = await self._write(record, queue, job_id, left_s)
-        _LOG.info(
-            "handled cancellation",
-            job=job_id,
-            outcome=reply.request_outcome,
-            known=answer.state is not None,
-        )
+        _LOG.info("handled cancellation", job=job_id, outcome=reply.request_outcome)
         return with_outcome(reply, RequestOutcome.CANCELLED, customer)
 
     async def _confirmed_state(self, job_id: str) -> JobAnswer:
@@ -309,9 +304,7 @@
         )
         if answer.state is not None:
             return Reply(RequestOutcome.STATE, state=answer.state, customer=customer)
-        if answer.current:
-            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
-        return self._stale_view_reply()
+        return self._unknown_job_reply(answer)
 
     async def count(self, queue: Queue, customer: str) -> Reply:
         """Return the number of accepted jobs of a queue with no started task."""
@@ -320,6 +313,11 @@
             return self._stale_view_reply()
         return Reply(RequestOutcome.COUNT, count=answer.waiting, customer=customer)
 
+    def _unknown_job_reply(self, answer: JobAnswer) -> Reply:
+        if answer.current:
+            return Reply(RequestOutcome.UNKNOWN_JOB, detail="no such job")
+        return self._stale_view_reply()
+
     def _stale_view_reply(self) -> Reply:
         return Reply(
             RequestOutcome.NOT_RUN,
