Start tasks also on workers whose clock cannot be followed

Change: the run counts as started, but is not confirmed before an inventory lists it; if a next life has answered, the run is charged to it as soon as that life is known. Why it works: only how long a run may go on depends on the clock, not whether it starts.

--- a/packages/cell/src/briarrun_cell/ledger.py
+++ b/packages/cell/src/briarrun_cell/ledger.py
@@ -529,7 +529,6 @@
         """Record that a worker confirmed a start."""
         now = self.clock.now()
         run.answered_at = now
-        run.confirmed = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.since = now
--- a/packages/cell/src/briarrun_cell/orders.py
+++ b/packages/cell/src/briarrun_cell/orders.py
@@ -115,11 +115,7 @@
                 self._on_evacuated(run, step)
                 return
             outcome = await self._send_start(run, step)
-            if outcome is None:
-                # A poll will show the next life, to which the run may belong.
-                run.unanswered_starts += 1
-                await asyncio.sleep(RETRY_S)
-            elif outcome is OrderOutcome.UNKNOWN:
+            if outcome is OrderOutcome.UNKNOWN:
                 run.unanswered_starts += 1
             elif run.worker is not worker or worker.dead:
                 continue  # It is not known which life of the worker has answered.
@@ -130,8 +126,7 @@
                 self._on_refused(run, step, outcome)
                 return
 
-    async def _send_start(self, run: Run, step: Step) -> OrderOutcome | None:
-        """Send a start order; return None if another life of the worker answers."""
+    async def _send_start(self, run: Run, step: Step) -> OrderOutcome:
         now = self._clock.now()
         worker, durations = run.worker, self._ledger.lease_durations
         until_ms = worker.clock_now_ms(now) + int(durations.start_s * 1000)
@@ -140,6 +135,7 @@
         worker.lease.extend(durations.start_order_end(now))
         first = run.state is RunState.PLANNED
         run.state = RunState.STARTING
+        run.confirmed = run.listed
         answer = await self._workers.start(
             worker.entry,
             StartOrder(
@@ -156,12 +152,16 @@
         answered_at = self._clock.now()
         if answer.outcome.was_sent:
             worker.misread_lease.extend(durations.granted_end(answered_at))
-        other_life = (
-            run.worker is worker
-            and answer.clock_ms is not None
-            and not worker.may_be_own_clock(answer.clock_ms, now, answered_at)
+        # An answer with another clock comes from a next life that is not known yet.
+        run.confirmed = run.listed or (
+            answer.outcome is OrderOutcome.DONE
+            and run.worker is worker
+            and (
+                answer.clock_ms is None
+                or worker.may_be_own_clock(answer.clock_ms, now, answered_at)
+            )
         )
-        if answer.outcome is not OrderOutcome.DONE or not first or other_life:
+        if answer.outcome is not OrderOutcome.DONE or not first:
             _LOG.info(
                 "sent start order",
                 job=run.task.job_id,
@@ -171,11 +171,8 @@
                 outcome=answer.outcome,
                 detail=answer.detail,
                 first=first,
-                other_life=other_life,
                 epoch=self._ledger.epoch,
             )
-        if other_life and answer.outcome is OrderOutcome.DONE:
-            return None
         return answer.outcome
 
     def _on_evacuated(self, run: Run, step: Step) -> None:
--- a/packages/cell/src/briarrun_cell/workers.py
+++ b/packages/cell/src/briarrun_cell/workers.py
@@ -85,7 +85,7 @@
     no start order of the run is carried out. ``answered_at`` is the time at which the
     last order was answered. ``resumed`` tells whether the run started from a checkpoint,
     ``listed`` whether an inventory of the worker's present life has listed the run, and
-    ``confirmed`` whether that life has certainly got the start order.
+    ``confirmed`` whether that life has certainly got the last start order.
     ``base_percent`` and ``base_at`` are the first known progress and its time; None
     if none is known yet, since a resumed run starts with some.
     """
@@ -108,7 +108,7 @@
     checkpoint: str = ""
     resumed: bool = False
     listed: bool = False
-    confirmed: bool = False
+    confirmed: bool = True
     missing_polls: int = 0
     stop_reason: str = ""
 
